Move the outside services' protocols to cicadatiller.backing

Cause: the folder platform/ becomes the adapter to the users' platform and may hold nothing but names, formats and calls of it.

--- a/bench/config_scale.py
+++ b/bench/config_scale.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from pathlib import Path
 
+from cicadatiller.backing import LogRecord
 from cicadatiller.config import (
     CONFIG_STREAM,
     MAX_AUDIT_ENTRIES,
@@ -31,7 +32,6 @@
 )
 from cicadatiller.config._records import pack_in_steps
 from cicadatiller.kernel import TaskSet
-from cicadatiller.platform import LogRecord
 from cicadatiller.standins import LogStandin
 from tests.support import PausedLoop
 from tests.support.configuration import base_change, change, edit
--- a/bench/list_size.py
+++ b/bench/list_size.py
@@ -10,7 +10,7 @@
 import cattrs
 
 from bench.capacity import TARGET
-from cicadatiller.platform import Instance, InstanceKind
+from cicadatiller.backing import Instance, InstanceKind
 
 RESULTS = Path(__file__).parent / "results" / "list_size.json"
 DATA_CENTRES = 6
--- a/src/cicadatiller/platform/__init__.py
+++ b/src/cicadatiller/backing/__init__.py
@@ -1,4 +1,4 @@
-"""The platform: the protocols of its services and the plug-ins that speak them."""
+"""The services behind the system: their protocols and the plug-ins that speak them."""
 
 from ._http import HttpInstanceList, HttpLog, HttpWeightStore
 from ._protocols import (
--- a/src/cicadatiller/cli/_demo.py
+++ b/src/cicadatiller/cli/_demo.py
@@ -10,10 +10,10 @@
 
 from connectrpc.errors import ConnectError
 
+from ..backing import Instance, InstanceKind
 from ..config import hash_key
 from ..entry import Entry, EntryOptions
 from ..kernel import HttpOptions, LoopBridge, TaskSet
-from ..platform import Instance, InstanceKind
 from ..rpc import RpcServer
 from ..rpc._generated.cicadatiller.v1 import operators_pb, serving_pb
 from ..rpc._generated.cicadatiller.v1.operators_connect import OperatorServiceClientSync
--- a/src/cicadatiller/config/_fold.py
+++ b/src/cicadatiller/config/_fold.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 
-from ..platform import LogRecord
+from ..backing import LogRecord
 from ._indexes import Edit, update_members, update_operators, update_workspace_names
 from ._objects import normalize_body
 from ._records import AuditEntry, ChangeRecord, ObjectDifference, decode_record, digest_change
--- a/src/cicadatiller/config/_publisher.py
+++ b/src/cicadatiller/config/_publisher.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from ..backing import LogClient, PlatformUnavailableError
 from ..kernel import ErrorKind, Event, fail, log_event
-from ..platform import LogClient, PlatformUnavailableError
 from ._records import CONFIG_STREAM, AuditEntry, ChangeRecord, digest_change, encode_record
 from ._store import ConfigStore
 
--- a/src/cicadatiller/config/_snapshot_writer.py
+++ b/src/cicadatiller/config/_snapshot_writer.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
+from ..backing import LogClient, PlatformUnavailableError
 from ..kernel import Event, log_event
-from ..platform import LogClient, PlatformUnavailableError
 from ._records import CONFIG_STREAM, encode_record
 from ._snapshot import split_in_background, take_snapshot
 from ._store import ConfigStore
--- a/src/cicadatiller/config/_store.py
+++ b/src/cicadatiller/config/_store.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from ..platform import LogRecord
+from ..backing import LogRecord
 from ._fold import fold
 from ._records import SnapshotPart, decode_record, encode_record, unpack_snapshot
 from ._snapshot import SnapshotAssembler, restore, split_snapshot, take_snapshot
--- a/src/cicadatiller/config/_tail.py
+++ b/src/cicadatiller/config/_tail.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
+from ..backing import LogClient, OffsetTrimmedError, PlatformUnavailableError
 from ..kernel import Event, log_event
-from ..platform import LogClient, OffsetTrimmedError, PlatformUnavailableError
 from ._records import CONFIG_STREAM
 from ._store import ConfigStore
 
--- a/src/cicadatiller/entry/_admin.py
+++ b/src/cicadatiller/entry/_admin.py
@@ -5,6 +5,7 @@
 
 from returns.result import Success
 
+from ..backing import LogRecord
 from ..config import (
     MAX_RECORD_BYTES,
     AuditEntry,
@@ -23,7 +24,6 @@
 from ..kernel import ErrorKind, Event, fail, log_event
 from ..membership import InstanceView, Target
 from ..peer import Drain, PeerLostError
-from ..platform import LogRecord
 from ._commands import ASK_TIMEOUT_S
 from ._peers import PeerPool
 from ._target_checks import find_last_of, find_targetless
--- a/src/cicadatiller/entry/_claim_table.py
+++ b/src/cicadatiller/entry/_claim_table.py
@@ -10,7 +10,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..platform import LogRecord
+from ..backing import LogRecord
 
 CLAIM_STREAM = "claims"
 RECORD_VERSION = 2
--- a/src/cicadatiller/entry/_claims.py
+++ b/src/cicadatiller/entry/_claims.py
@@ -7,8 +7,8 @@
 
 from returns.result import Success
 
+from ..backing import LogClient, OffsetTrimmedError, PlatformUnavailableError
 from ..kernel import ErrorKind, Event, FailureError, RunState, fail, log_event
-from ..platform import LogClient, OffsetTrimmedError, PlatformUnavailableError
 from ._claim_table import (
     CLAIM_STREAM,
     KEY_SKEW_MS,
--- a/src/cicadatiller/entry/_dispatch.py
+++ b/src/cicadatiller/entry/_dispatch.py
@@ -4,10 +4,10 @@
 import random
 from collections.abc import Callable
 
+from ..backing import InstanceKind
 from ..config import ConfigStore, Deployment, PolicyWeights
 from ..kernel import ErrorKind, fail
 from ..membership import InstanceView, Target, eject_slow, usable_targets
-from ..platform import InstanceKind
 from ._estimate import Size
 from ._requests import WorkRequest
 from ._routing import RouteQuery, RoutingPolicy, routing_registry
--- a/src/cicadatiller/entry/_keeper.py
+++ b/src/cicadatiller/entry/_keeper.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from ..backing import Instance, InstanceKind
 from ..membership import InstanceView, choose_subset, rendezvous_order
-from ..platform import Instance, InstanceKind
 from ._peers import PeerPool
 
 WIDEN_STEP = 8
--- a/src/cicadatiller/entry/_main.py
+++ b/src/cicadatiller/entry/_main.py
@@ -5,9 +5,9 @@
 import threading
 from typing import TYPE_CHECKING
 
+from ..backing import instance_list_registry, log_registry
 from ..kernel import Event, LoopBridge, log_event, run_from_command_line
 from ..peer import open_transport
-from ..platform import instance_list_registry, log_registry
 from ._process import Entry, EntryOptions
 from ._settings import EntrySettings
 
--- a/src/cicadatiller/entry/_peers.py
+++ b/src/cicadatiller/entry/_peers.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Coroutine
 
+from ..backing import LogRecord
 from ..config import ConfigStore
 from ..kernel import Event, TaskSet, log_event
 from ..membership import InstanceView
@@ -17,7 +18,6 @@
     WorkspaceUse,
     dial_peer,
 )
-from ..platform import LogRecord
 from ._config_push import ConfigPusher
 
 MIN_IDLE_PING_S = 2.0
--- a/src/cicadatiller/entry/_process.py
+++ b/src/cicadatiller/entry/_process.py
@@ -3,11 +3,11 @@
 import zlib
 from dataclasses import dataclass
 
+from ..backing import InstanceList, LogClient
 from ..config import ConfigStore, ConfigTail, Publisher, SnapshotWriter
 from ..kernel import Event, TaskSet, log_event
 from ..membership import InstanceView
 from ..peer import PeerTiming, Transport
-from ..platform import InstanceList, LogClient
 from ._admin import AdminService
 from ._claims import ClaimLog
 from ._keeper import PeerKeeper
--- a/src/cicadatiller/entry/_settings.py
+++ b/src/cicadatiller/entry/_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..backing import instance_list_registry, log_registry
 from ..kernel import (
     EndpointSettings,
     HttpOptions,
@@ -14,7 +15,6 @@
     registered,
 )
 from ..peer import PeerTiming, transport_registry
-from ..platform import instance_list_registry, log_registry
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cicadatiller/entry/_target_checks.py
+++ b/src/cicadatiller/entry/_target_checks.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Iterable
 
+from ..backing import InstanceKind
 from ..config import Edit, Model, Service
 from ..membership import Target
-from ..platform import InstanceKind
 
 
 def find_targetless(edits: Iterable[Edit], targets: tuple[Target, ...]) -> str:
--- a/src/cicadatiller/membership/_subset.py
+++ b/src/cicadatiller/membership/_subset.py
@@ -3,8 +3,8 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
+from ..backing import Instance
 from ..kernel import rendezvous_weight
-from ..platform import Instance
 
 WHOLE_POOL = 32
 NEAR_TARGETS = 24
--- a/src/cicadatiller/membership/_target.py
+++ b/src/cicadatiller/membership/_target.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from ..backing import Instance, InstanceState
 from ..peer import LoadReport
-from ..platform import Instance, InstanceState
 from ._breaker import Breaker
 
 REPORT_LAG_S = 0.3
--- a/src/cicadatiller/membership/_view.py
+++ b/src/cicadatiller/membership/_view.py
@@ -4,14 +4,14 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..kernel import Event, log_event
-from ..platform import (
+from ..backing import (
     Instance,
     InstanceKind,
     InstanceList,
     InstanceState,
     PlatformUnavailableError,
 )
+from ..kernel import Event, log_event
 from ._target import Target
 
 LIST_POLL_S = 1.0
--- a/src/cicadatiller/sidecar/_config_exchange.py
+++ b/src/cicadatiller/sidecar/_config_exchange.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+from ..backing import LogRecord
 from ..config import ConfigStore
 from ..kernel import Event, TaskSet, log_event, rendezvous_weight
 from ..peer import ConfigRecord, ConfigRecords, FollowConfig, LoadReport, PeerLink, Pong
-from ..platform import LogRecord
 
 FOLLOW_SILENCE_S = 30.0
 
--- a/src/cicadatiller/sidecar/_engine_target.py
+++ b/src/cicadatiller/sidecar/_engine_target.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+from ..backing import Instance, LogClient, WeightStore
 from ..config import ConfigStore, PolicyWeights
 from ..kernel import TaskSet
 from ..peer import Transport
-from ..platform import Instance, LogClient, WeightStore
 from ..targets import Engine
 from ._engine_driver import EngineDriver
 from ._gang_coordinator import GangCoordinator
--- a/src/cicadatiller/sidecar/_main.py
+++ b/src/cicadatiller/sidecar/_main.py
@@ -3,9 +3,9 @@
 import asyncio
 import sys
 
+from ..backing import instance_list_registry, log_registry, weight_store_registry
 from ..kernel import run_from_command_line
 from ..peer import open_transport
-from ..platform import instance_list_registry, log_registry, weight_store_registry
 from ..targets import engine_registry, service_registry
 from ._options import SidecarOptions
 from ._process import Sidecar
--- a/src/cicadatiller/sidecar/_orders.py
+++ b/src/cicadatiller/sidecar/_orders.py
@@ -4,9 +4,9 @@
 import random
 from dataclasses import dataclass
 
+from ..backing import PlatformUnavailableError, WeightStore
 from ..config import ConfigStore
 from ..kernel import Event, log_event
-from ..platform import PlatformUnavailableError, WeightStore
 from ..targets import (
     Engine,
     EngineInfo,
--- a/src/cicadatiller/sidecar/_orders_fence.py
+++ b/src/cicadatiller/sidecar/_orders_fence.py
@@ -5,8 +5,8 @@
 import json
 import random
 
+from ..backing import LogClient, LogRecord, OffsetTrimmedError, PlatformUnavailableError
 from ..kernel import Event, log_event
-from ..platform import LogClient, LogRecord, OffsetTrimmedError, PlatformUnavailableError
 
 INCARNATION_STREAM = "incarnations"
 LEASE_S = 15.0
--- a/src/cicadatiller/sidecar/_peers.py
+++ b/src/cicadatiller/sidecar/_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import defaultdict
 
+from ..backing import Instance, InstanceKind, InstanceState
 from ..config import ConfigStore
 from ..membership import long_work_rank
 from ..peer import (
@@ -14,7 +15,6 @@
     Transport,
     dial_peer,
 )
-from ..platform import Instance, InstanceKind, InstanceState
 
 ASK_TIMEOUT_S = 2.0
 DIAL_BATCH = 8
--- a/src/cicadatiller/sidecar/_process.py
+++ b/src/cicadatiller/sidecar/_process.py
@@ -4,10 +4,7 @@
 import contextlib
 import zlib
 
-from ..config import ConfigStore, ConfigTail
-from ..kernel import Event, TaskSet, log_event, new_incarnation
-from ..peer import PeerServer, Transport
-from ..platform import (
+from ..backing import (
     Instance,
     InstanceList,
     InstanceState,
@@ -15,6 +12,9 @@
     PlatformUnavailableError,
     WeightStore,
 )
+from ..config import ConfigStore, ConfigTail
+from ..kernel import Event, TaskSet, log_event, new_incarnation
+from ..peer import PeerServer, Transport
 from ..targets import Engine, PlainService
 from ._engine_target import EngineTarget
 from ._handover import drain
--- a/src/cicadatiller/sidecar/_settings.py
+++ b/src/cicadatiller/sidecar/_settings.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from ..backing import instance_list_registry, log_registry, weight_store_registry
 from ..kernel import (
     EndpointSettings,
     PeerTlsSettings,
@@ -15,7 +16,6 @@
     registered,
 )
 from ..peer import PeerTiming, transport_registry
-from ..platform import instance_list_registry, log_registry, weight_store_registry
 from ..targets import engine_registry, service_registry
 
 
--- a/src/cicadatiller/sidecar/_slots.py
+++ b/src/cicadatiller/sidecar/_slots.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..backing import Instance, InstanceKind, InstanceState
 from ..kernel import rendezvous_weight
-from ..platform import Instance, InstanceKind, InstanceState
 
 # The list lags and may lose rows for a while; a slot counts as gone only after this time.
 GONE_AFTER_S = 10.0
--- a/src/cicadatiller/sidecar/_target.py
+++ b/src/cicadatiller/sidecar/_target.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
+from ..backing import Instance
 from ..config import ConfigStore
-from ..platform import Instance
 from ..targets import PlainService
 from ._gang_member import GangMember
 from ._load import ServiceLoadSource
--- a/src/cicadatiller/standins/_instances.py
+++ b/src/cicadatiller/standins/_instances.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import replace
 
-from ..platform import Instance, InstanceState, PlatformUnavailableError
+from ..backing import Instance, InstanceState, PlatformUnavailableError
 
 
 class InstanceListStandin:
--- a/src/cicadatiller/standins/_log.py
+++ b/src/cicadatiller/standins/_log.py
@@ -4,7 +4,7 @@
 import time
 from collections import defaultdict
 
-from ..platform import LogPage, LogRecord, OffsetTrimmedError, PlatformUnavailableError
+from ..backing import LogPage, LogRecord, OffsetTrimmedError, PlatformUnavailableError
 
 
 class LogStandin:
--- a/src/cicadatiller/standins/_platform_routes.py
+++ b/src/cicadatiller/standins/_platform_routes.py
@@ -7,7 +7,7 @@
 
 import cattrs
 
-from ..platform import Instance, LogPage, OffsetTrimmedError, PlatformUnavailableError
+from ..backing import Instance, LogPage, OffsetTrimmedError, PlatformUnavailableError
 from ._http_shell import GONE, UNAVAILABLE, Reply, Route, json_fields, json_reply
 from ._instances import InstanceListStandin
 from ._log import LogStandin
--- a/src/cicadatiller/standins/_programs.py
+++ b/src/cicadatiller/standins/_programs.py
@@ -10,6 +10,7 @@
 
 import typer
 
+from ..backing import Instance
 from ..kernel import (
     EXIT_BAD_SETTINGS,
     LoopBridge,
@@ -22,7 +23,6 @@
     not_negative,
     run_program,
 )
-from ..platform import Instance
 from ..targets import ModelRef
 from ._engine import EngineStandin
 from ._engine_model import EngineModel
--- a/src/cicadatiller/standins/_weights.py
+++ b/src/cicadatiller/standins/_weights.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..platform import PlatformUnavailableError
+from ..backing import PlatformUnavailableError
 
 
 class WeightStoreStandin:
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -2,6 +2,7 @@
 
 import json
 
+from cicadatiller.backing import LogRecord
 from cicadatiller.config import (
     ChangeRecord,
     ConfigState,
@@ -10,7 +11,6 @@
     fold,
     hash_key,
 )
-from cicadatiller.platform import LogRecord
 
 ADMIN_KEY = "admin-key"
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -4,6 +4,7 @@
 import json
 from dataclasses import dataclass, field
 
+from cicadatiller.backing import Instance, InstanceKind
 from cicadatiller.config import ChangeRecord, ObjectEdit, hash_key
 from cicadatiller.entry import (
     AnswerDone,
@@ -14,7 +15,6 @@
     WorkRequest,
 )
 from cicadatiller.kernel import Failure, FailureError, TaskSet
-from cicadatiller.platform import Instance, InstanceKind
 from cicadatiller.sidecar import Sidecar, SidecarOptions
 from cicadatiller.standins import (
     EngineModel,
--- a/tests/support/regions.py
+++ b/tests/support/regions.py
@@ -6,9 +6,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from cicadatiller.backing import Instance, InstanceKind, PlatformUnavailableError
 from cicadatiller.config import ObjectEdit
 from cicadatiller.kernel import RunState
-from cicadatiller.platform import Instance, InstanceKind, PlatformUnavailableError
 from cicadatiller.standins import ServiceStandin
 
 from .configuration import change
--- a/tests/support/spread.py
+++ b/tests/support/spread.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cicadatiller.platform import Instance, InstanceKind, PlatformUnavailableError
+from cicadatiller.backing import Instance, InstanceKind, PlatformUnavailableError
 
 from .configuration import change, edit
 from .fleet import Fleet
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from cicadatiller.backing import LogRecord
 from cicadatiller.entry._claim_table import (
     KEY_SKEW_MS,
     KEY_VALID_MS,
@@ -17,7 +18,6 @@
 )
 from cicadatiller.entry._claims import APPENDS_PER_S, CLAIM_TIMEOUT_S
 from cicadatiller.kernel import ErrorKind, RunState, parse_request_id
-from cicadatiller.platform import LogRecord
 from cicadatiller.sidecar._service import LATE_WORK_S
 
 from .support import Fleet, PausedCase
--- a/tests/test_gang.py
+++ b/tests/test_gang.py
@@ -3,11 +3,11 @@
 import asyncio
 import json
 
+from cicadatiller.backing import Instance, InstanceKind
 from cicadatiller.config import ChangeRecord, ConfigStore, ObjectEdit
 from cicadatiller.kernel import ErrorKind, RunState, fail
 from cicadatiller.membership import long_work_rank
 from cicadatiller.peer import PeerTiming
-from cicadatiller.platform import Instance, InstanceKind
 from cicadatiller.sidecar._engine_target import EngineTarget
 from cicadatiller.sidecar._gang import Gang, GangMemberShare, NotReservedError
 from cicadatiller.sidecar._gang_member import EXPORT_LEASE_S
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -3,8 +3,7 @@
 import asyncio
 import unittest
 
-from cicadatiller.kernel import HttpCaller, HttpTimeouts, HttpUnreachableError
-from cicadatiller.platform import (
+from cicadatiller.backing import (
     HttpInstanceList,
     HttpLog,
     HttpWeightStore,
@@ -13,6 +12,7 @@
     OffsetTrimmedError,
     PlatformUnavailableError,
 )
+from cicadatiller.kernel import HttpCaller, HttpTimeouts, HttpUnreachableError
 from cicadatiller.standins import (
     EngineModel,
     EngineStandin,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+from cicadatiller.backing import Instance, InstanceKind
 from cicadatiller.entry._attempts import AttemptTracker
 from cicadatiller.entry._keeper import MAX_WIDENED, WIDENED_S, PeerKeeper
 from cicadatiller.kernel import ErrorKind, failure
@@ -17,7 +18,6 @@
 from cicadatiller.membership._subset import WHOLE_POOL
 from cicadatiller.membership._view import UNLISTED_LIMIT_S
 from cicadatiller.peer import LoadReport
-from cicadatiller.platform import Instance, InstanceKind
 from cicadatiller.standins import InstanceListStandin
 
 from .support import Fleet, PausedCase
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from cicadatiller.backing import HttpInstanceList, HttpLog, HttpWeightStore
 from cicadatiller.kernel import PeerTlsSettings
 from cicadatiller.peer import (
     ChannelClosedError,
@@ -16,7 +17,6 @@
     dial_peer,
     open_transport,
 )
-from cicadatiller.platform import HttpInstanceList, HttpLog, HttpWeightStore
 from cicadatiller.sidecar import Sidecar, SidecarOptions
 from cicadatiller.standins import ServiceStandin
 
