--- /dev/null
+++ b/src/cicadatiller/egress/_request.py
@@ -0,0 +1,23 @@
+"""Renders requests as HTTP/1.1."""
+
+from collections.abc import Iterable
+
+from ..ingress import Header
+
+
+def render_request(
+    method: bytes, target: bytes, headers: Iterable[Header], body: bytes = b""
+) -> bytes:
+    """Return a whole request.
+
+    Args:
+        method: The method.
+        target: The path and query.
+        headers: All headers but that of the body's length.
+        body: The body.
+    """
+    lines = [b"%s %s HTTP/1.1" % (method, target)]
+    lines.extend(b"%s: %s" % header for header in headers)
+    if body or method not in (b"GET", b"HEAD"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/src/cicadatiller/fleet/_directory.py
@@ -0,0 +1,66 @@
+"""The targets that are known, by service."""
+
+from collections.abc import Iterable
+
+from ..kernel import Event, log_event
+from ._target import TargetRecord, TargetState
+
+
+class Target:
+    """One run of a target's program, as this entry sees it.
+
+    Attributes:
+        record: What the target registered.
+    """
+
+    def __init__(self, *, record: TargetRecord) -> None:
+        self.record = record
+
+    @property
+    def instance_id(self) -> str:
+        """Return the id of this run."""
+        return self.record.instance_id
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether it may be sent new work."""
+        return self.record.state is TargetState.READY
+
+
+class TargetDirectory:
+    """The targets by the id of their run."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+
+    def find(self, instance_id: str) -> Target | None:
+        """Return a target."""
+        return self._targets.get(instance_id)
+
+    def targets(self) -> Iterable[Target]:
+        """Return all targets."""
+        return self._targets.values()
+
+    def targets_of(self, service: str) -> list[Target]:
+        """Return the targets of a service that take work."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.takes_work and target.record.service == service
+        ]
+
+    def put(self, record: TargetRecord) -> None:
+        """Take what a target registered."""
+        known = self._targets.get(record.instance_id)
+        if known is None or known.record.started_ms != record.started_ms:
+            self._targets[record.instance_id] = Target(record=record)
+            log_event(Event.INSTANCE_SEEN, name=record.instance_id, address=record.address)
+            return
+        if known.record.state is not record.state:
+            log_event(Event.TARGET_LEAVING, name=record.instance_id)
+        known.record = record
+
+    def remove(self, instance_id: str, reason: str) -> None:
+        """Forget a target."""
+        if self._targets.pop(instance_id, None) is not None:
+            log_event(Event.INSTANCE_GONE, name=instance_id, reason=reason)
--- /dev/null
+++ b/src/cicadatiller/gateway/__init__.py
@@ -0,0 +1,14 @@
+"""The entry's side that serves HTTP/1.1 callers."""
+
+from ._node import Bounds, NodeSettings
+from ._process import Gateway
+from ._wire import RequestFields, TargetFields, WireCodec
+
+__all__ = [
+    "Bounds",
+    "Gateway",
+    "NodeSettings",
+    "RequestFields",
+    "TargetFields",
+    "WireCodec",
+]
--- /dev/null
+++ b/src/cicadatiller/gateway/_answers.py
@@ -0,0 +1,43 @@
+"""What callers are told when a request fails."""
+
+from ..ingress import Answer
+from ..kernel import ErrorKind, Failure, RunState
+from ._wire import WireCodec
+
+UNAVAILABLE = 503
+UNKNOWN_OUTCOME = 502
+DEFAULT_RETRY_AFTER_S = 0.5
+
+# The statuses of failures that did not run; others are told from the run state.
+STATUSES = {
+    ErrorKind.INVALID_REQUEST: 400,
+    ErrorKind.UNAUTHENTICATED: 401,
+    ErrorKind.UNKNOWN_SERVICE: 404,
+    ErrorKind.TOO_LARGE: 413,
+}
+
+
+def failure_status(failure: Failure) -> int:
+    """Return the status of a failure.
+
+    Statuses that promise that a request did not run are used only where that is certain.
+    """
+    if failure.run_state is not RunState.NOT_RUN:
+        return 504 if failure.kind is ErrorKind.DEADLINE_EXCEEDED else UNKNOWN_OUTCOME
+    return STATUSES.get(failure.kind, UNAVAILABLE)
+
+
+def failure_answer(failure: Failure, request_id: str, codec: WireCodec) -> Answer:
+    """Return the answer to a request that failed."""
+    status = failure_status(failure)
+    retry_after_s = None
+    if status == UNAVAILABLE:
+        retry_after_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
+    return Answer(
+        status=status,
+        headers=(
+            *codec.refusal_headers(request_id, retry_after_s),
+            (b"Content-Type", b"text/plain"),
+        ),
+        body=f"{failure.kind.value}: {failure.message}\n".encode(),
+    )
--- /dev/null
+++ b/src/cicadatiller/ingress/_server.py
@@ -0,0 +1,67 @@
+"""Listens for callers."""
+
+import asyncio
+
+from ._connection import Handler, IngressConnection
+from ._limits import IngressLimits
+
+BACKLOG = 1024
+
+
+class IngressServer:
+    """The listener and its open connections.
+
+    Args:
+        handler: Handles each request.
+        limits: The limits until `limits` is set.
+
+    Attributes:
+        limits: The limits in force.
+    """
+
+    def __init__(self, *, handler: Handler, limits: IngressLimits | None = None) -> None:
+        self.limits = limits or IngressLimits()
+        self._handler = handler
+        self._connections: set[IngressConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
+    @property
+    def busy_connections(self) -> int:
+        """Return how many connections have a request in work."""
+        return sum(connection.is_busy for connection in self._connections)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._connect, host, port, backlog=BACKLOG)
+        bound: int = self._server.sockets[0].getsockname()[1]
+        return bound
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def drain(self) -> None:
+        """Have each connection close after its request in work."""
+        for connection in list(self._connections):
+            connection.drain()
+
+    def close(self) -> None:
+        """Close the listener and all connections at once."""
+        self.stop_listening()
+        for connection in list(self._connections):
+            connection.abort()
+
+    def _connect(self) -> IngressConnection:
+        return IngressConnection(
+            handler=self._handler,
+            limits=lambda: self.limits,
+            on_open=self._connections.add,
+            on_close=self._connections.discard,
+        )
--- /dev/null
+++ b/src/cicadatiller/ingress/_writing.py
@@ -0,0 +1,86 @@
+"""Renders answers as HTTP/1.1."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ._request import Header
+
+REASONS = {
+    100: b"Continue",
+    200: b"OK",
+    204: b"No Content",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    403: b"Forbidden",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+_FRAMING = frozenset({b"connection", b"content-length", b"keep-alive", b"transfer-encoding"})
+_WITHOUT_BODY = frozenset({204, 304})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """A complete answer.
+
+    Attributes:
+        status: The status.
+        headers: Names and values; headers of the framing and the connection are left out.
+        body: The body.
+    """
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+def render_head(status: int, headers: Iterable[Header]) -> bytes:
+    """Return the status line and headers, without those of the framing and without an end."""
+    lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Status"))]
+    for name, value in headers:
+        if name.lower() not in _FRAMING:
+            lines.append(b"%s: %s" % (name, value))
+    return b"\r\n".join(lines)
+
+
+def render_answer(answer: Answer, *, close: bool, is_head_request: bool = False) -> bytes:
+    """Return a whole answer.
+
+    Args:
+        answer: What to say.
+        close: Whether the connection closes after it.
+        is_head_request: Whether the answer describes a body without having it.
+    """
+    parts = [render_head(answer.status, answer.headers)]
+    if answer.status not in _WITHOUT_BODY:
+        parts.append(b"Content-Length: %d" % len(answer.body))
+    if close:
+        parts.append(b"Connection: close")
+    head = b"\r\n".join(parts) + b"\r\n\r\n"
+    return head if is_head_request or answer.status in _WITHOUT_BODY else head + answer.body
+
+
+def render_stream_head(status: int, headers: Iterable[Header], *, close: bool) -> bytes:
+    """Return the head of an answer whose body comes in chunks."""
+    parts = [render_head(status, headers), b"Transfer-Encoding: chunked"]
+    if close:
+        parts.append(b"Connection: close")
+    return b"\r\n".join(parts) + b"\r\n\r\n"
+
+
+def render_chunk(data: bytes) -> bytes:
+    """Return a part of a body as one chunk; the data must not be empty."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/src/cicadatiller/platform/_log.py
@@ -0,0 +1,189 @@
+"""The platform's store: its log, read and written over HTTP/1.1."""
+
+import asyncio
+import base64
+import json
+from urllib.parse import urlencode
+
+from ..egress import ConnectionPool, EgressError, PoolLimits, ResponseHead, render_request
+from ..fleet import (
+    HistoryLostError,
+    KeyedPage,
+    KeyedRecord,
+    StoreUnavailableError,
+    Topic,
+)
+
+TOPIC_NAMES = {
+    Topic.CONFIGURATION: "keyed.op",
+    Topic.TARGETS: "keyed.servers",
+    Topic.MEMBERS: "keyed.status",
+}
+# Keyed topics have one partition.
+PARTITION = 0
+
+CALL_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_READ_KIB = 1024
+
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+POSITION_BYTES = 2 * OFFSET_BYTES
+MAX_KEY_BYTES = 255
+
+OK = 200
+GONE = 410
+
+
+class PlatformLog:
+    """The keyed topics of the store.
+
+    Args:
+        address: Where the store listens, "host:port".
+
+    Attributes:
+        calls: How many calls were made, refused ones included.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._pool = ConnectionPool(limits=PoolLimits(max_idle=2, max_idle_s=30.0))
+        self.calls = 0
+
+    async def read_newest(self, topic: Topic) -> KeyedPage:
+        """Return the newest record of each key; raises `StoreUnavailableError`."""
+        records: list[KeyedRecord] = []
+        next_offset: int | None = None
+        after = ""
+        while True:
+            query = {"topic": TOPIC_NAMES[topic], "part": PARTITION}
+            if after:
+                query["after"] = after
+            _, body = await self._call(b"GET", "/log-newest", query)
+            try:
+                document = json.loads(body)
+                page = [_decode_item(item) for item in document["items"]]
+                # Pages are no snapshot, so what changed since the first one must be read again.
+                next_offset = document["end"] if next_offset is None else next_offset
+                has_more = bool(document["has_more"])
+            except (ValueError, KeyError, TypeError) as error:
+                raise StoreUnavailableError(
+                    f"the newest records can't be read: {error!r}"
+                ) from error
+            records.extend(page)
+            if not has_more or not page:
+                return KeyedPage(records=tuple(records), next_offset=int(next_offset or 0))
+            after = page[-1].key
+
+    async def read(self, topic: Topic, from_offset: int, *, wait_s: float = 0.0) -> KeyedPage:
+        """Return the records from an offset on, waiting up to `wait_s` for the first.
+
+        Raises:
+            HistoryLostError: If some of them have been dropped.
+            StoreUnavailableError: If the store gives no usable answer.
+        """
+        query = {
+            "topic": TOPIC_NAMES[topic],
+            "part": PARTITION,
+            "from": from_offset,
+            "max_kb": MAX_READ_KIB,
+            "wait_ms": int(wait_s * 1000),
+        }
+        head, body = await self._call(b"GET", "/log-read", query, wait_s=wait_s)
+        if head.status == GONE:
+            raise HistoryLostError(f"records after {from_offset} have been dropped")
+        return decode_page(body, from_offset)
+
+    async def put(self, topic: Topic, key: str, value: bytes | None) -> None:
+        """Append a record; raises `StoreUnavailableError`."""
+        query = {"topic": TOPIC_NAMES[topic], "part": PARTITION}
+        await self._call(b"POST", "/log-append", query, body=encode_record(key, value))
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        query: dict[str, str | int],
+        *,
+        body: bytes = b"",
+        wait_s: float = 0.0,
+    ) -> tuple[ResponseHead, bytes]:
+        self.calls += 1
+        target = f"{path}?{urlencode(query)}".encode()
+        request = render_request(method, target, [(b"Host", self._address.encode())], body)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+                connection = await self._pool.take(self._address)
+                try:
+                    connection.start(request)
+                    head = await connection.read_head()
+                    answer = await connection.read_whole_body(MAX_ANSWER_BYTES)
+                finally:
+                    self._pool.give_back(connection)
+        except (EgressError, TimeoutError) as error:
+            raise StoreUnavailableError(f"{path}: {error!r}") from error
+        if head.status not in (OK, GONE):
+            raise StoreUnavailableError(f"{path}: status {head.status}")
+        return head, answer
+
+
+def encode_record(key: str, value: bytes | None) -> bytes:
+    """Return a keyed record as it is appended.
+
+    Raises:
+        ValueError: If the key is too long.
+    """
+    name = key.encode()
+    if not 0 < len(name) <= MAX_KEY_BYTES:
+        raise ValueError(f"a key must have 1 to {MAX_KEY_BYTES} bytes, found {len(name)}")
+    content = bytes([len(name)]) + name + (value or b"")
+    return len(content).to_bytes(LENGTH_BYTES, "big") + content
+
+
+def decode_page(body: bytes, from_offset: int) -> KeyedPage:
+    """Decode the answer to a read.
+
+    Raises:
+        StoreUnavailableError: If it breaks off within a record.
+    """
+    if len(body) < POSITION_BYTES:
+        raise StoreUnavailableError("the answer is too short")
+    first = int.from_bytes(body[OFFSET_BYTES:POSITION_BYTES], "big")
+    offset = max(from_offset, first)
+    records: list[KeyedRecord] = []
+    position = POSITION_BYTES
+    while position < len(body):
+        begin = position + LENGTH_BYTES
+        end = begin + int.from_bytes(body[position:begin], "big")
+        if begin > len(body) or end > len(body):
+            raise StoreUnavailableError("the answer breaks off within a record")
+        record = _decode_content(offset, body[begin:end])
+        if record is not None:
+            records.append(record)
+        offset += 1
+        position = end
+    return KeyedPage(records=tuple(records), next_offset=offset)
+
+
+def _decode_content(offset: int, content: bytes) -> KeyedRecord | None:
+    """Return a record; None if another writer left something that has no readable key."""
+    if not content:
+        return None
+    end = 1 + content[0]
+    try:
+        key = content[1:end].decode()
+    except UnicodeDecodeError:
+        return None
+    if len(content) < end or not key:
+        return None
+    value = content[end:]
+    return KeyedRecord(offset=offset, key=key, value=value or None)
+
+
+def _decode_item(item: dict[str, object]) -> KeyedRecord:
+    value = base64.b64decode(str(item["value"]))
+    return KeyedRecord(offset=int(str(item["offset"])), key=str(item["key"]), value=value or None)
--- /dev/null
+++ b/src/cicadatiller/platform/_settings.py
@@ -0,0 +1,105 @@
+"""Reads the settings file that the platform gives to a process."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from ..gateway import Bounds, NodeSettings
+
+SETTINGS_PATH_VARIABLE = "CICADATILLER_SETTINGS"
+
+
+class PlatformSettingsError(ValueError):
+    """The settings file can't be used; the message names each wrong field."""
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read the file.
+
+    Raises:
+        PlatformSettingsError: If it can't be read or a field is missing or of a wrong type.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise PlatformSettingsError(f"{path}: {error}") from error
+    return parse_node_settings(document)
+
+
+def parse_node_settings(document: dict[str, Any]) -> NodeSettings:
+    """Turn the fields of the file into the project's settings; unknown fields are ignored.
+
+    Raises:
+        PlatformSettingsError: If a field is missing or of a wrong type.
+    """
+    reader = _Reader(document)
+    bounds = reader.table("bounds")
+    listen = reader.table("listen")
+    ports = reader.list_of(int, "internal_port_range")
+    node = NodeSettings(
+        name=reader.text("node_name"),
+        data_centre=reader.text("zone"),
+        host=reader.text("ip"),
+        caller_address=listen.text("front"),
+        readiness_address=listen.text("ready"),
+        peer_port=ports[0] if ports else 0,
+        store_address=reader.table("platform").text("address"),
+        bounds=Bounds(
+            shutdown_s=bounds.number("grace_s"),
+            target_drain_s=bounds.number("drain_ms") / 1000,
+            config_converge_s=bounds.number("config_converge_ms") / 1000,
+            retry_ratio=bounds.number("retry_budget_ratio"),
+            retry_slack=bounds.number("retry_budget_slack"),
+            retry_window_s=bounds.number("budget_window_s"),
+            max_hold_s=bounds.number("hold_max_ms", 20_000) / 1000,
+            hold_after_use_s=bounds.number("free_ms", 4_000) / 1000,
+            unused_hold_s=bounds.number("idle_max_ms", 9_000) / 1000,
+        ),
+    )
+    reader.raise_problems()
+    return node
+
+
+class _Reader:
+    """Reads fields of a table and gathers what is wrong with them."""
+
+    def __init__(
+        self, document: dict[str, Any], path: str = "", problems: list[str] | None = None
+    ) -> None:
+        self._document = document
+        self._path = path
+        self._problems: list[str] = [] if problems is None else problems
+
+    def text(self, name: str) -> str:
+        value = self._document.get(name)
+        if not isinstance(value, str) or not value:
+            return self._wrong(name, "a text that is not empty", "")
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        value = self._document.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            return self._wrong(name, "a number that is not negative", 0.0)
+        return float(value)
+
+    def list_of(self, kind: type[Any], name: str) -> list[Any]:
+        value = self._document.get(name)
+        if not isinstance(value, list) or not all(isinstance(item, kind) for item in value):
+            return self._wrong(name, f"a list of {kind.__name__}", [])
+        return value
+
+    def table(self, name: str) -> "_Reader":
+        value = self._document.get(name)
+        if not isinstance(value, dict):
+            value = self._wrong(name, "a table", {})
+        return _Reader(value, f"{self._path}{name}.", self._problems)
+
+    def raise_problems(self) -> None:
+        if self._problems:
+            raise PlatformSettingsError("; ".join(self._problems))
+
+    def _wrong(self, name: str, wanted: str, instead: Any) -> Any:
+        value = self._document.get(name)
+        found = "it is missing" if value is None else f"found {value!r}"
+        self._problems.append(f"{self._path}{name}: expected {wanted}; {found}")
+        return instead
