--- /dev/null
+++ b/tests/support/engine_play.py
@@ -0,0 +1,326 @@
+"""Plays a load of prompts on engines that work in passes, without a network.
+
+The engines follow the model in `EngineModel`: a pass makes one event for each stream and reads
+chunks of prompts beside it; parts of prompts that are read together go ahead of others.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from dataclasses import dataclass, field
+
+from cicadatiller.placement import (
+    Candidate,
+    LoadBoard,
+    Placing,
+    Prompt,
+    Work,
+    place_prompt,
+    read_s,
+)
+from cicadatiller.routes import EngineModel
+
+ENGINE = EngineModel(
+    slots=8,
+    kv_capacity_tokens=232_000,
+    step_s=0.00102,
+    step_per_sequence_s=4.5e-6,
+    step_per_context_token_s=4.3e-9,
+    prefill_tokens_per_s=206_000.0,
+    prefill_pair_s=1.38e-10,
+    chunk_tokens=2048,
+    steps_per_pass=43,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class PromptKind:
+    """A kind of request.
+
+    Attributes:
+        name: The kind.
+        per_s: How many come in a second.
+        mean_tokens: The mean prompt; lengths are spread log-normally.
+        spread: The standard deviation of the logarithm of the length.
+        max_tokens: The longest.
+        events: The events of an answer.
+        target_latency_s: When the first event is due.
+        max_gap_s: The longest pause between events.
+        worth: What a request is worth if it is on time.
+    """
+
+    name: str
+    per_s: float
+    mean_tokens: float
+    spread: float
+    max_tokens: int
+    events: int
+    target_latency_s: float
+    max_gap_s: float
+    worth: float
+
+
+@dataclass
+class PlayedRequest:
+    """A request and what became of it."""
+
+    kind: PromptKind
+    arrived_s: float
+    tokens: int
+    events: int
+    first_s: float | None = None
+    last_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+    ended_s: float | None = None
+    refused: bool = False
+
+    @property
+    def on_time(self):
+        """Tell whether it earned its whole worth."""
+        if self.ended_s is None or self.first_s is None:
+            return False
+        is_soon = self.first_s - self.arrived_s <= self.kind.target_latency_s
+        return is_soon and self.longest_gap_s <= self.kind.max_gap_s
+
+
+@dataclass
+class _Read:
+    work_id: str
+    tokens: int
+    done: float = 0.0
+    is_part: bool = False
+
+
+@dataclass
+class _Writer:
+    work_id: str
+    request: PlayedRequest
+    context: int
+    left: int
+
+
+@dataclass
+class PlayedEngine:
+    """One engine."""
+
+    name: str
+    reads: list = field(default_factory=list)
+    writers: list = field(default_factory=list)
+    is_running: bool = False
+    slowness: float = 1.0
+
+
+class LoadPlay:
+    """Plays a load.
+
+    Args:
+        engines: How many there are.
+        policy: Takes (prompt, candidates, model, now_s) and returns a `Placing` or None to wait.
+        seed: Draws the load.
+    """
+
+    def __init__(self, *, engines, policy=place_prompt, seed=1, model=ENGINE):
+        self.model = model
+        self.policy = policy
+        self.engines = {f"e{number}": PlayedEngine(f"e{number}") for number in range(engines)}
+        self.board = LoadBoard()
+        self.requests = []
+        self.now_s = 0.0
+        self._random = random.Random(seed)
+        self._events = []
+        self._order = itertools.count()
+        self._waiting = []
+        self._placings = {}
+        self._by_work = {}
+        self._parts_left = {}
+
+    def run(self, phases):
+        """Play phases, each (kinds, seconds), and what is left of them; returns the requests."""
+        begin_s = 0.0
+        for kinds, length_s in phases:
+            for kind in kinds:
+                self._draw(kind, begin_s, length_s)
+            begin_s += length_s
+        while self._events:
+            self.now_s, _, action = heapq.heappop(self._events)
+            action()
+        return self.requests
+
+    def _at(self, time_s, action):
+        heapq.heappush(self._events, (time_s, next(self._order), action))
+
+    def _draw(self, kind, begin_s, length_s):
+        time_s = begin_s
+        while kind.per_s > 0:
+            time_s += self._random.expovariate(kind.per_s)
+            if time_s >= begin_s + length_s:
+                return
+            scale = math.log(kind.mean_tokens) - kind.spread**2 / 2
+            tokens = int(min(kind.max_tokens, self._random.lognormvariate(scale, kind.spread)))
+            events = max(1, int(self._random.lognormvariate(math.log(kind.events) - 0.12, 0.5)))
+            request = PlayedRequest(kind, time_s, max(16, tokens), events)
+            self.requests.append(request)
+            self._at(time_s, lambda request=request: self._arrive(request))
+
+    def _arrive(self, request):
+        self._waiting.append(request)
+        self._place_waiting()
+
+    def _place_waiting(self):
+        for request in sorted(self._waiting, key=lambda r: r.arrived_s + r.kind.target_latency_s):
+            placing = self._choose(request)
+            if placing is not None:
+                self._waiting.remove(request)
+                self._begin(request, placing)
+
+    def _choose(self, request):
+        kind = request.kind
+        prompt = Prompt(
+            tokens=request.tokens,
+            output_tokens=request.events * self.model.steps_per_pass,
+            due_in_s=kind.target_latency_s - (self.now_s - request.arrived_s),
+            max_gap_s=kind.max_gap_s,
+            worth=0.75 * kind.worth,
+        )
+        candidates = [
+            Candidate(target_id=name, load=self.board.load(name)) for name in self.engines
+        ]
+        return self.policy(prompt, candidates, self.model, self.now_s)
+
+    def _begin(self, request, placing):
+        work_id = f"w{next(self._order)}"
+        self._placings[work_id] = placing
+        self._by_work[work_id] = request
+        members = (placing.host_id, *placing.helper_ids)
+        self._parts_left[work_id] = len(members)
+        kept = {share.target_id: share.tokens for share in placing.shares}
+        part = math.ceil(request.tokens / len(members))
+        works = []
+        for name in members:
+            writes = name == placing.host_id
+            works.append(
+                Work(
+                    work_id=work_id,
+                    owner="play",
+                    target_id=name,
+                    read_s=read_s(self.model, request.tokens) / len(members),
+                    read_tokens=part,
+                    kv_tokens=placing.host_kv_tokens if writes else kept.get(name, 0),
+                    context_tokens=request.tokens if writes else 0,
+                    writes=writes,
+                    max_gap_s=request.kind.max_gap_s if writes else math.inf,
+                    due_in_s=request.kind.target_latency_s + request.arrived_s - self.now_s,
+                    worth=0.75 * request.kind.worth,
+                    placed_s=self.now_s,
+                )
+            )
+            self._add_read(self.engines[name], work_id, part, is_part=len(members) > 1)
+        self.board.add(works)
+
+    def _add_read(self, engine, work_id, tokens, *, is_part):
+        read = _Read(work_id, tokens, is_part=is_part)
+        if is_part:
+            place = sum(1 for other in engine.reads if other.is_part)
+            engine.reads.insert(place, read)
+        else:
+            engine.reads.append(read)
+        if not engine.is_running:
+            self._run_pass(engine)
+
+    def _run_pass(self, engine):
+        engine.is_running = bool(engine.reads or engine.writers)
+        if not engine.is_running:
+            return
+        model = self.model
+        context = sum(writer.context for writer in engine.writers)
+        step_s = model.step_s + len(engine.writers) * model.step_per_sequence_s
+        step_s += context * model.step_per_context_token_s
+        steps = model.steps_per_pass if engine.writers else 1
+        length_s = steps * step_s
+        done = []
+        chunk = model.chunk_tokens * steps
+        while engine.reads and chunk > 0:
+            read = engine.reads[0]
+            total_s = read_s(model, self._by_work[read.work_id].tokens)
+            share = total_s / self._by_work[read.work_id].tokens
+            taken = min(chunk, read.tokens - read.done)
+            length_s += taken * share
+            read.done += taken
+            chunk -= taken
+            if read.done >= read.tokens:
+                done.append(engine.reads.pop(0))
+        writers = list(engine.writers)
+        end_s = self.now_s + length_s * engine.slowness
+        self._at(end_s, lambda: self._end_pass(engine, done, writers))
+
+    def _end_pass(self, engine, done, writers):
+        for writer in writers:
+            self._write(engine, writer)
+        for read in done:
+            self._end_part(read.work_id)
+        self._run_pass(engine)
+        self._place_waiting()
+
+    def _write(self, engine, writer):
+        request = writer.request
+        if request.first_s is None:
+            request.first_s = self.now_s
+            placing = self._placings[writer.work_id]
+            members = (placing.host_id, *placing.helper_ids)
+            self.board.begin(writer.work_id, members, self.now_s)
+        else:
+            gap_s = self.now_s - request.last_event_s
+            request.longest_gap_s = max(request.longest_gap_s, gap_s)
+        request.last_event_s = self.now_s
+        writer.left -= 1
+        if writer.left == 0:
+            engine.writers.remove(writer)
+            request.ended_s = self.now_s
+            placing = self._placings.pop(writer.work_id)
+            members = (placing.host_id, *placing.helper_ids)
+            self.board.remove(writer.work_id, members, self.now_s)
+
+    def _end_part(self, work_id):
+        self._parts_left[work_id] -= 1
+        if self._parts_left[work_id]:
+            return
+        request = self._by_work[work_id]
+        host = self.engines[self._placings[work_id].host_id]
+        host.writers.append(_Writer(work_id, request, request.tokens, request.events))
+        if not host.is_running:
+            self._run_pass(host)
+
+
+def least_in_flight(prompt, candidates, model, now_s):
+    """Place on the target with the fewest requests; the baseline of the tests."""
+    free = [c for c in candidates if c.load.in_flight < model.slots]
+    fitting = [
+        c
+        for c in free
+        if c.load.kv_tokens + prompt.tokens + prompt.output_tokens <= model.kv_capacity_tokens
+    ]
+    if not fitting:
+        return None
+    best = min(fitting, key=lambda c: c.load.in_flight)
+    return Placing(
+        host_id=best.target_id,
+        host_kv_tokens=prompt.tokens + prompt.output_tokens,
+        part_read_s=read_s(model, prompt.tokens),
+    )
+
+
+def share_on_time(requests, kind_name):
+    """Return the share of a kind's requests that were on time."""
+    of_kind = [request for request in requests if request.kind.name == kind_name]
+    return sum(request.on_time for request in of_kind) / len(of_kind)
+
+
+def share_of_worth(requests):
+    """Return the share of all worth that was earned."""
+    owed = sum(request.kind.worth for request in requests)
+    earned = sum(
+        request.kind.worth * (1.0 if request.on_time else 0.25 if request.ended_s else 0.0)
+        for request in requests
+    )
+    return earned / owed
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -238,6 +238,11 @@
             await asyncio.sleep(self.gap_s)
         await responder.finish()
 
+    def tickets_later(self, order, delay_s):
+        """Carry a reservation out after a delay."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.tickets.__setitem__, order["id"], order["tokens"])
+
     async def _take_order(self, order, responder):
         self.orders.append((order["operation"], order["id"]))
         status = self.answer_orders(order)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,236 @@
+"""Where prompts are read and written, by playing loads."""
+
+import functools
+import math
+import unittest
+from dataclasses import replace
+
+from cicadatiller.placement import (
+    Candidate,
+    LoadBoard,
+    Prompt,
+    TargetLoad,
+    Work,
+    place_prompt,
+    read_s,
+)
+
+from .support.engine_play import (
+    ENGINE,
+    LoadPlay,
+    PromptKind,
+    least_in_flight,
+    share_of_worth,
+    share_on_time,
+)
+
+SHORT = PromptKind(
+    name="short",
+    per_s=17.0,
+    mean_tokens=4960,
+    spread=0.9,
+    max_tokens=23_800,
+    events=32,
+    target_latency_s=0.3,
+    max_gap_s=0.25,
+    worth=1.3,
+)
+MIDDLE = PromptKind(
+    name="middle",
+    per_s=0.93,
+    mean_tokens=45_000,
+    spread=0.5,
+    max_tokens=110_000,
+    events=19,
+    target_latency_s=1.5,
+    max_gap_s=0.6,
+    worth=3.9,
+)
+HUGE = PromptKind(
+    name="huge",
+    per_s=0.78,
+    mean_tokens=133_000,
+    spread=0.55,
+    max_tokens=600_000,
+    events=16,
+    target_latency_s=3.0,
+    max_gap_s=1.0,
+    worth=15.0,
+)
+
+
+def mostly_long(x=1.0):
+    return [
+        replace(SHORT, per_s=0.32 * x * SHORT.per_s),
+        replace(MIDDLE, per_s=1.3 * x * MIDDLE.per_s),
+        replace(HUGE, per_s=2.8 * x * HUGE.per_s),
+    ]
+
+
+def mostly_short(x=1.0):
+    return [
+        replace(SHORT, per_s=2.5 * x * SHORT.per_s),
+        replace(MIDDLE, per_s=0.5 * x * MIDDLE.per_s),
+        replace(HUGE, per_s=0.05 * x * HUGE.per_s),
+    ]
+
+
+PHASES = [(mostly_long(), 10.0), (mostly_short(), 10.0), (mostly_long(), 10.0)]
+SEEDS = (1, 2)
+
+
+@functools.cache
+def play(seed, engines=16, policy=place_prompt):
+    """Return the requests of a load that swings, played once."""
+    return LoadPlay(engines=engines, seed=seed, policy=policy).run(PHASES)
+
+
+class LoadTest(unittest.TestCase):
+    def test_a_load_that_swings_is_served_on_time(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                requests = play(seed)
+                self.assertTrue(all(request.ended_s for request in requests))
+                for kind in ("short", "middle", "huge"):
+                    self.assertGreater(share_on_time(requests, kind), 0.9, kind)
+
+    def test_it_earns_more_than_least_in_flight(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                theirs = share_of_worth(play(seed, policy=least_in_flight))
+                self.assertGreater(share_of_worth(play(seed)), theirs + 0.05)
+
+    def test_the_longest_of_a_kind_are_served_like_the_others(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                huge = [r for r in play(seed) if r.kind.name == "huge"]
+                longest = sorted(huge, key=lambda r: -r.tokens)[: len(huge) // 10]
+                self.assertGreater(sum(r.on_time for r in longest) / len(longest), 0.7)
+
+    def test_with_a_third_of_the_engines_gone_short_prompts_stay_fast(self):
+        requests = play(1, engines=11)
+        self.assertGreater(share_on_time(requests, "short"), 0.8)
+        self.assertTrue(all(request.ended_s for request in requests))
+
+
+class ChoiceTest(unittest.TestCase):
+    def candidates(self, count=8):
+        return [Candidate(target_id=f"e{n}", load=TargetLoad()) for n in range(count)]
+
+    def prompt(self, tokens, **changes):
+        fields = {
+            "tokens": tokens,
+            "output_tokens": 700,
+            "due_in_s": 3.0,
+            "max_gap_s": 1.0,
+            "worth": 10.0,
+        }
+        return Prompt(**(fields | changes))
+
+    def writer(self, name, **changes):
+        fields = {
+            "work_id": name,
+            "owner": "a",
+            "target_id": "e0",
+            "context_tokens": 5000,
+            "kv_tokens": 6000,
+            "max_gap_s": 0.25,
+            "has_begun": True,
+        }
+        return Work(**(fields | changes))
+
+    def test_a_short_prompt_is_read_alone(self):
+        placing = place_prompt(self.prompt(4000, due_in_s=0.3), self.candidates(), ENGINE, 0.0)
+        self.assertEqual(placing.helper_ids, ())
+
+    def test_a_prompt_too_long_for_its_time_is_read_together(self):
+        tokens = 200_000
+        self.assertGreater(read_s(ENGINE, tokens), 3.0)
+        placing = place_prompt(self.prompt(tokens), self.candidates(), ENGINE, 0.0)
+        self.assertGreaterEqual(len(placing.helper_ids), 1)
+        self.assertLess(placing.first_in_s, 3.0)
+        self.assertEqual(placing.shares, ())
+
+    def test_a_prompt_beyond_one_memory_keeps_parts_at_its_helpers(self):
+        placing = place_prompt(self.prompt(500_000), self.candidates(), ENGINE, 0.0)
+        kept = sum(share.tokens for share in placing.shares)
+        self.assertEqual(placing.host_kv_tokens + kept, 500_700)
+        self.assertLessEqual(placing.host_kv_tokens, ENGINE.kv_capacity_tokens)
+        self.assertLessEqual({s.target_id for s in placing.shares}, set(placing.helper_ids))
+        for share in placing.shares:
+            self.assertLessEqual(share.tokens, ENGINE.kv_capacity_tokens)
+
+    def test_a_prompt_beyond_all_memory_is_not_placed(self):
+        placing = place_prompt(self.prompt(900_000), self.candidates(3), ENGINE, 0.0)
+        self.assertIsNone(placing)
+
+    def test_a_long_read_stays_away_from_short_streams(self):
+        candidates = self.candidates(4)
+        for number in range(3):
+            candidates[0].load.add(self.writer(f"w{number}"))
+        placing = place_prompt(self.prompt(100_000), candidates, ENGINE, 0.0)
+        self.assertNotIn("e0", (placing.host_id, *placing.helper_ids))
+
+    def test_short_streams_share_a_target(self):
+        candidates = self.candidates(4)
+        for number in range(3):
+            candidates[2].load.add(self.writer(f"w{number}", target_id="e2"))
+        prompt = self.prompt(4000, due_in_s=0.3, max_gap_s=0.25, worth=1.0)
+        self.assertEqual(place_prompt(prompt, candidates, ENGINE, 0.0).host_id, "e2")
+
+    def test_a_full_target_gets_nothing(self):
+        candidates = self.candidates(1)
+        for number in range(ENGINE.slots):
+            candidates[0].load.add(self.writer(f"w{number}"))
+        self.assertIsNone(place_prompt(self.prompt(1000), candidates, ENGINE, 0.0))
+
+    def test_a_target_without_memory_gets_nothing(self):
+        candidates = self.candidates(1)
+        candidates[0].load.add(self.writer("w", kv_tokens=200_000))
+        self.assertIsNone(place_prompt(self.prompt(50_000), candidates, ENGINE, 0.0))
+
+    def test_a_slow_target_is_left_to_others(self):
+        candidates = self.candidates(2)
+        candidates[0].load.pace = 5.0
+        placing = place_prompt(self.prompt(60_000, due_in_s=1.0), candidates, ENGINE, 0.0)
+        self.assertEqual(placing.host_id, "e1")
+
+
+class BoardTest(unittest.TestCase):
+    def work(self, work_id, target="e0", **changes):
+        fields = {"work_id": work_id, "owner": "a", "target_id": target, "read_s": 1.0}
+        return Work(**(fields | changes))
+
+    def test_reads_follow_each_other(self):
+        board = LoadBoard()
+        board.add([self.work("w1", placed_s=10.0), self.work("w2", placed_s=10.0)])
+        load = board.load("e0")
+        self.assertEqual(load.read_wait_s(10.0), 2.0)
+        board.begin("w1", ["e0"], 10.5)
+        self.assertAlmostEqual(load.read_wait_s(10.5), 1.0)
+        board.remove("w2", ["e0"], 10.5)
+        self.assertEqual(load.read_wait_s(10.5), 0.0)
+        self.assertEqual(load.in_flight, 1)
+
+    def test_helpers_end_with_the_read_unless_they_keep_memory(self):
+        board = LoadBoard()
+        board.add(
+            [
+                self.work("w1"),
+                self.work("w1", "e1", writes=False),
+                self.work("w1", "e2", writes=False, kv_tokens=1000),
+            ]
+        )
+        board.begin("w1", ["e0", "e1", "e2"], 1.0)
+        self.assertEqual([board.load(f"e{n}").helping for n in range(3)], [0, 0, 1])
+        board.remove("w1", ["e0", "e1", "e2"], 2.0)
+        self.assertEqual([len(board.load(f"e{n}").works) for n in range(3)], [0, 0, 0])
+
+    def test_the_work_of_an_owner_is_forgotten_with_it(self):
+        board = LoadBoard()
+        board.add([self.work("w1"), self.work("w2", owner="b")])
+        board.remove_owner("a", 1.0)
+        self.assertEqual(list(board.load("e0").works), ["w2"])
+
+    def test_no_deadline_is_no_deadline(self):
+        self.assertEqual(self.work("w").due_in_s, math.inf)
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,199 @@
+"""Prompts that no engine can hold by itself, and the memory reserved for them."""
+
+import asyncio
+
+from .support.gateways import GatewayFleet, configuration, route
+from .support.streams import NetworkCase
+
+LONG = (500_000, 400)
+ROUTES = [
+    route("stream", target_latency_ms=3000, gap_target_ms=1000, timeout_ms=15_000, max_attempts=2)
+]
+HOLD_S = 4.0
+
+
+class TicketCase(NetworkCase):
+    def play(self, scenario, *, engines=4, entries=1):
+        async def run():
+            fleet = GatewayFleet()
+            await fleet.start(
+                entries=entries,
+                targets=("engines",) * engines,
+                config=configuration(3, routes=ROUTES),
+                settle_s=2.5,
+            )
+            return await scenario(fleet)
+
+        return self.run_paused(run())
+
+    def ask(self, fleet, **options):
+        return fleet.ask("stream", tokens=LONG, deadline_ms=15_000, **options)
+
+    def held(self, fleet):
+        """Return the reservations that engines hold."""
+        return [name for target in fleet.targets.values() for name in target.tickets]
+
+    def orders(self, fleet, operation):
+        return [
+            name for t in fleet.targets.values() for kind, name in t.orders if kind == operation
+        ]
+
+
+class ReservationTest(TicketCase):
+    def test_memory_is_reserved_used_and_released(self):
+        async def scenario(fleet):
+            asking = fleet.loop.create_task(self.ask(fleet))
+            await asyncio.sleep(0.1)
+            during = self.held(fleet)
+            reply = await asking
+            await asyncio.sleep(0.1)
+            return during, reply, fleet.runs, self.held(fleet)
+
+        during, reply, runs, after = self.play(scenario)
+        self.assertEqual((reply.status, reply.whole), (200, True))
+        self.assertEqual(reply.events, [1, 2, 3, 4, 5])
+        helpers = runs[0].headers["helpers"].split(",")
+        named = {helper.partition("/")[2] for helper in helpers if "/" in helper}
+        self.assertEqual(named, set(during))
+        self.assertGreaterEqual(len(during), 2)
+        # Those that keep memory come first, as it is filled in their order.
+        with_ticket = ["/" in helper for helper in helpers]
+        self.assertEqual(with_ticket, sorted(with_ticket, reverse=True))
+        self.assertEqual(after, [])
+
+    def test_no_two_requests_share_a_reservation(self):
+        async def scenario(fleet):
+            await asyncio.gather(*(self.ask(fleet, entry=n % 2) for n in range(4)))
+            return self.orders(fleet, "reserve"), self.held(fleet)
+
+        reserved, held = self.play(scenario, engines=8, entries=2)
+        self.assertEqual(len(reserved), len(set(reserved)))
+        self.assertEqual(held, [])
+
+    def test_it_is_renewed_while_it_is_used(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.work_s = 5.0
+            reply = await self.ask(fleet)
+            return reply, self.orders(fleet, "reserve"), self.held(fleet)
+
+        reply, reserved, held = self.play(scenario)
+        self.assertTrue(reply.whole)
+        per_ticket = len(reserved) / len(set(reserved))
+        self.assertGreaterEqual(per_ticket, 2)
+        self.assertLessEqual(per_ticket, 4)
+        self.assertEqual(held, [])
+
+    def test_it_lapses_before_it_counts_as_leaked(self):
+        async def scenario(fleet):
+            holds = []
+
+            def note(order):
+                holds.append(order.get("hold_ms", 0))
+                return 200
+
+            for target in fleet.targets.values():
+                target.answer_orders = note
+            await self.ask(fleet)
+            return [hold for hold in holds if hold]
+
+        for hold_ms in self.play(scenario):
+            self.assertLess(hold_ms / 1000, HOLD_S)
+
+
+class EndingTest(TicketCase):
+    def release_cases(self):
+        async def leaves(fleet):
+            await self.ask(fleet, leave_after_s=0.3)
+
+        async def engine_breaks(fleet):
+            for target in fleet.targets.values():
+                target.script = lambda headers, number: "lose"
+            await self.ask(fleet)
+
+        async def engine_refuses(fleet):
+            for target in fleet.targets.values():
+                target.script = lambda headers, number: 503
+            await self.ask(fleet)
+
+        async def no_room(fleet):
+            for target in fleet.targets.values():
+                target.answer_orders = lambda order: 409 if order["operation"] == "reserve" else 200
+            await self.ask(fleet)
+
+        async def one_has_no_room(fleet):
+            target = fleet.targets["t-1"]
+            target.answer_orders = lambda order: 409 if order["operation"] == "reserve" else 200
+            await self.ask(fleet)
+
+        async def deadline(fleet):
+            for target in fleet.targets.values():
+                target.work_s = 30
+            await self.ask(fleet)
+
+        return [leaves, engine_breaks, engine_refuses, no_room, one_has_no_room, deadline]
+
+    def test_nothing_stays_reserved_however_the_request_ends(self):
+        for case in self.release_cases():
+            with self.subTest(case.__name__):
+
+                async def scenario(fleet, case=case):
+                    await case(fleet)
+                    await asyncio.sleep(1.0)
+                    return self.held(fleet)
+
+                self.assertEqual(self.play(scenario), [])
+
+    def test_an_order_without_an_answer_is_released_when_it_takes_effect_late(self):
+        async def scenario(fleet):
+            late = []
+
+            def hang_and_apply(order):
+                if order["operation"] != "reserve":
+                    return 200
+                late.append(order["id"])
+                target.tickets_later(order, 6.0)
+                return "hang"
+
+            target = fleet.targets["t-1"]
+            target.answer_orders = hang_and_apply
+            await self.ask(fleet)
+            appeared = False
+            for _ in range(200):
+                await asyncio.sleep(0.1)
+                appeared |= bool(target.tickets)
+            return late, appeared, self.held(fleet)
+
+        late, appeared, held = self.play(scenario)
+        if late:
+            self.assertTrue(appeared)
+        self.assertEqual(held, [])
+
+    def test_a_release_without_an_answer_is_sent_again(self):
+        async def scenario(fleet):
+            seen = []
+
+            def lose_first(order):
+                if order["operation"] == "release" and order["id"] not in seen:
+                    seen.append(order["id"])
+                    return "hang"
+                return 200
+
+            for target in fleet.targets.values():
+                target.answer_orders = lose_first
+            await self.ask(fleet)
+            await asyncio.sleep(3.0)
+            return seen, self.held(fleet)
+
+        seen, held = self.play(scenario)
+        self.assertTrue(seen)
+        self.assertEqual(held, [])
+
+    def test_a_request_that_found_no_room_is_placed_elsewhere(self):
+        async def scenario(fleet):
+            target = fleet.targets["t-1"]
+            target.answer_orders = lambda order: 409 if order["operation"] == "reserve" else 200
+            return await self.ask(fleet)
+
+        reply = self.play(scenario, engines=6)
+        self.assertEqual((reply.status, reply.whole), (200, True))
