Choose targets of calls by the time that calls took; wait a moment after the start; keep the order of bytes in the memory network

A test of tickets failed now and then (a chunk before its head): timers of the same moment fire in any order in asyncio, so the memory network swapped two writes; each timer now delivers what is next.

--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -50,6 +50,7 @@
         wait_s: How long a read waits for a record.
         interval_s: How old the newest read of any entry may get before this one reads.
         on_read: Takes what this entry read: the topic, the offset from which, and the page.
+        on_change: Called after records were taken, from the store or from a peer.
 
     Attributes:
         next_offset: Where the next read begins; None while nothing is known.
@@ -64,6 +65,7 @@
         wait_s: float = 0.0,
         interval_s: float = 0.0,
         on_read: Callable[[Topic, int, KeyedPage], None],
+        on_change: Callable[[], None],
     ) -> None:
         self.next_offset: int | None = None
         self._log = log
@@ -72,6 +74,7 @@
         self._wait_s = wait_s
         self._interval_s = interval_s
         self._on_read = on_read
+        self._on_change = on_change
         self._loop = asyncio.get_running_loop()
         self._newest: dict[str, KeyedRecord] = {}
         self._fresh_s = self._loop.time()
@@ -170,6 +173,8 @@
             self._sink.apply(record, grace_s=grace_s)
             self._changed_s = self._fresh_s
         self.next_offset = max(known, page.next_offset)
+        if page.records:
+            self._on_change()
 
     def _replace(self, page: KeyedPage) -> None:
         self._note_fresh()
@@ -177,6 +182,7 @@
         self._newest = {record.key: record for record in page.records if record.value is not None}
         self._sink.replace(page, grace_s=self._grace_s())
         self.next_offset = max(self.next_offset or 0, page.next_offset)
+        self._on_change()
 
     def _note_fresh(self) -> None:
         now_s = self._loop.time()
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -113,7 +113,7 @@
                 await responder.answer(outcome.answer)
                 return outcome
             if step is not NextStep.RETRY:
-                raise _failure(step, outcome)
+                raise _failure(step, outcome, job)
 
     def _after_failure(
         self, grant: Grant, job: Job, outcome: AttemptOutcome, progress: Progress
@@ -210,6 +210,7 @@
                 is_answer=lambda head: self._codec.answers_request(head, job.request_id),
             )
             self._note_sent(job, progress)
+            sent_s = self._loop.time()
             async with asyncio.timeout(self._head_timeout_s(grant, job, progress)):
                 head = await connection.read_head()
             if self._codec.says_not_run(head):
@@ -223,7 +224,9 @@
                     on_first_event=lambda: self._note_first_event(grant, job, progress),
                 )
                 return await relay.run(connection, head)
-            return await self._read_answer(connection, head, job, responder, progress)
+            outcome = await self._read_answer(connection, head, job, responder, progress)
+            self._scheduler.note_call(grant, self._loop.time() - sent_s)
+            return outcome
         except (EgressError, EventTooLongError) as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
         except TimeoutError:
@@ -325,7 +328,12 @@
     )
 
 
-def _failure(step: NextStep, outcome: AttemptOutcome) -> FailureError:
-    if step is NextStep.REFUSE:
-        return fail(ErrorKind.TARGET_REFUSED, outcome.reason, run_state=RunState.NOT_RUN)
-    return fail(ErrorKind.TARGET_LOST, outcome.reason, run_state=RunState.OUTCOME_UNKNOWN)
+def _failure(step: NextStep, outcome: AttemptOutcome, job: Job) -> FailureError:
+    if step is not NextStep.REFUSE:
+        return fail(ErrorKind.TARGET_LOST, outcome.reason, run_state=RunState.OUTCOME_UNKNOWN)
+    return fail(
+        ErrorKind.TARGET_REFUSED,
+        outcome.reason,
+        run_state=RunState.NOT_RUN,
+        retry_after_s=job.route.target_latency_s / 2,
+    )
--- a/src/cicadatiller/gateway/_handler.py
+++ b/src/cicadatiller/gateway/_handler.py
@@ -1,6 +1,7 @@
 """Handles the requests of callers."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -14,6 +15,8 @@
 from ._progress import Progress
 from ._wire import RequestFields, WireCodec
 
+START_WAIT_S = 0.5
+
 
 class RequestHandler:
     """Takes a request from admission to its last answer.
@@ -23,6 +26,7 @@
         table: Returns the configuration in force; None while none is known.
         forwarder: Sends requests to targets.
         metrics: Counts.
+        known: Set once configuration and targets are known.
         chance: Chooses among the services of a route.
     """
 
@@ -33,12 +37,14 @@
         table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
         metrics: GatewayMetrics,
+        known: asyncio.Event,
         chance: random.Random,
     ) -> None:
         self._codec = codec
         self._table = table
         self._forwarder = forwarder
         self._metrics = metrics
+        self._known = known
         self._chance = chance
         self._loop = asyncio.get_running_loop()
 
@@ -46,6 +52,8 @@
         """Answer one request."""
         fields = self._codec.decode_request(request)
         progress = Progress(last_event_id=fields.last_event_id)
+        if not self._known.is_set():
+            await self._wait_until_known()
         table = self._table()
         try:
             job = admit(request, fields, table, self._chance)
@@ -66,6 +74,12 @@
             config=0 if table is None else table.version,
         )
 
+    async def _wait_until_known(self) -> None:
+        """Wait a moment after the start, as what is missing is being read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_WAIT_S):
+                await self._known.wait()
+
     async def _answer_failure(
         self,
         error: FailureError,
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -83,6 +83,7 @@
         self.board = LoadBoard()
         self._directory = TargetDirectory()
         self._metrics = GatewayMetrics()
+        self._known = asyncio.Event()
         self._clock = ClockWatch(loop_time_s=self._loop.time)
         self._configuration = ConfigurationSink(decoder=decoder, on_change=self._take_table)
         self._budget = RetryBudget(
@@ -101,7 +102,7 @@
         self._scheduler = self._make_scheduler()
         self._callers = IngressServer(handler=self._make_handler(codec).handle)
         self._pages = StatusPages(
-            is_ready=lambda: self._configuration.table is not None,
+            is_ready=self._known.is_set,
             exposition=Exposition(metrics=self._metrics, gauges=self._gauges),
             metrics_path=self._settings.metrics_path,
         )
@@ -184,6 +185,7 @@
                 sink=self._configuration,
                 wait_s=CONFIGURATION_WAIT_S,
                 on_read=self._note_read,
+                on_change=self._note_topic,
             ),
             Topic.TARGETS: TopicFollower(
                 log=log,
@@ -191,6 +193,7 @@
                 sink=targets,
                 interval_s=self._settings.target_read_interval_s,
                 on_read=self._note_read,
+                on_change=self._note_topic,
             ),
         }
 
@@ -249,12 +252,12 @@
             table=lambda: self._configuration.table,
             forwarder=forwarder,
             metrics=self._metrics,
+            known=self._known,
             chance=random.Random(),
         )
 
     def _note_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
         self.team.topic_read(topic, from_offset, page)
-        self._wake()
 
     def _note_failure(self, target: Target, outcome: AttemptOutcome) -> None:
         """Take a target that did not bring a request to a good end."""
@@ -286,6 +289,13 @@
         service = self._find_service(name)
         return service is not None and service.engine is not None
 
+    def _note_topic(self) -> None:
+        """Note that something was read of the store, by this entry or a peer."""
+        targets = self._followers[Topic.TARGETS]
+        if self._configuration.table is not None and targets.next_offset is not None:
+            self._known.set()
+        self._wake()
+
     def _wake(self) -> None:
         self._scheduler.wake()
 
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import statistics
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -9,12 +10,14 @@
 from ..fleet import Target, TargetDirectory, eject_failing, eject_slow, usable_targets
 from ..kernel import ErrorKind, fail
 from ..placement import (
+    CallCandidate,
     Candidate,
     LoadBoard,
     Placing,
     Prompt,
     Work,
     pass_s,
+    place_call,
     place_prompt,
     read_s,
     write_s,
@@ -28,6 +31,7 @@
 PATIENCE_GAPS = 8
 RECHECK_S = 0.02
 NO_TARGET_RETRY_S = 1.0
+MAX_RETRY_AFTER_S = 5.0
 OUTPUT_MARGIN = 1.3
 ASSUMED_OUTPUT_SHARE = 0.5
 
@@ -164,6 +168,11 @@
         self._listener.work_begun(grant.work_id)
         self.wake()
 
+    def note_call(self, grant: Grant, taken_s: float) -> None:
+        """Take how long a target of a plain service took for a whole answer."""
+        load = self._board.load(grant.host.instance_id)
+        load.note_call(taken_s, self._loop.time())
+
     def release(self, grant: Grant) -> None:
         """Note that a request is over at its targets."""
         self._board.remove(grant.work_id, grant.target_ids, self._loop.time())
@@ -206,7 +215,7 @@
                     fail(
                         ErrorKind.OVERLOADED,
                         f"no target of {waiter.job.service} had room in time",
-                        retry_after_s=NO_TARGET_RETRY_S,
+                        retry_after_s=self._retry_after_s(waiter.job, now_s),
                     )
                 )
                 self._waiters.remove(waiter)
@@ -233,28 +242,28 @@
             raise fail(ErrorKind.NO_TARGET, f"all targets of {job.service} were tried")
         service = self._services(job.service)
         if service is None or service.engine is None or waiter.prompt is None:
-            return self._place_call(job, untried)
+            return self._place_call(untried, now_s)
         return self._place_prompt(waiter, service.engine, untried, now_s)
 
-    def _place_call(self, job: Job, pool: list[Target]) -> Grant | None:
-        def weight(target: Target) -> tuple[float, bool]:
-            load = self._board.load(target.instance_id)
-            is_far = target.record.data_centre != self._data_centre
-            return (load.in_flight + 1) / target.record.slots + 0.2 * is_far, is_far
-
-        free = [
-            target
+    def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
+        candidates = [
+            CallCandidate(
+                target_id=target.instance_id,
+                load=self._board.load(target.instance_id),
+                slots=target.record.slots,
+                is_near=target.record.data_centre == self._data_centre,
+            )
             for target in pool
-            if self._board.load(target.instance_id).in_flight < target.record.slots
         ]
-        if not free:
+        host_id = place_call(candidates, now_s)
+        if host_id is None:
             return None
-        host = min(free, key=weight)
+        host = next(target for target in pool if target.instance_id == host_id)
         work = Work(
             work_id=self._new_work_id(),
             owner=self._owner,
-            target_id=host.instance_id,
-            placed_s=self._loop.time(),
+            target_id=host_id,
+            placed_s=now_s,
         )
         return self._grant(Grant(work_id=work.work_id, host=host), (work,))
 
@@ -367,5 +376,12 @@
             needed_s = read_s(model, job.fields.prompt_tokens) / 4 + pass_s(model, 1, 0)
         return min(job.limit_s, job.request.read_at_s + patience_s) - needed_s
 
+    def _retry_after_s(self, job: Job, now_s: float) -> float:
+        """Return when room is to be expected: when half of the targets have read what they have."""
+        pool = self._directory.targets_of(job.service)
+        waits_s = [self._board.load(t.instance_id).read_wait_s(now_s) for t in pool]
+        expected_s = statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S
+        return min(MAX_RETRY_AFTER_S, max(expected_s, job.route.target_latency_s / 2))
+
     def _new_work_id(self) -> str:
         return f"{self._owner}-{next(self._counter)}"
--- a/src/cicadatiller/placement/__init__.py
+++ b/src/cicadatiller/placement/__init__.py
@@ -1,11 +1,13 @@
 """Decides where requests go; pure code, without a network."""
 
 from ._board import LoadBoard, TargetLoad
+from ._calls import CallCandidate, place_call
 from ._engine import pass_s, read_s, write_s
 from ._policy import Candidate, Placing, Prompt, TicketShare, place_prompt
 from ._work import Work
 
 __all__ = [
+    "CallCandidate",
     "Candidate",
     "LoadBoard",
     "Placing",
@@ -14,6 +16,7 @@
     "TicketShare",
     "Work",
     "pass_s",
+    "place_call",
     "place_prompt",
     "read_s",
     "write_s",
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -1,10 +1,12 @@
 """What every target has to do, as far as this entry knows."""
 
+import math
 from collections.abc import Iterable
 
 from ._work import Work
 
 MAX_PACE = 50.0
+CALL_GAIN = 0.25
 
 
 class TargetLoad:
@@ -14,12 +16,16 @@
         works: By id.
         read_free_s: When all reading that is known will be done, by the loop's time.
         pace: How much slower the target is than its model says; 1 if it is as fast.
+        call_s: The smoothed time that calls took.
+        call_at_s: When the last of them ended.
     """
 
     def __init__(self) -> None:
         self.works: dict[str, Work] = {}
         self.read_free_s = 0.0
         self.pace = 1.0
+        self.call_s = 0.0
+        self.call_at_s = -math.inf
 
     @property
     def in_flight(self) -> int:
@@ -57,6 +63,12 @@
         """Take how fast the target is, as a multiple of its model's times."""
         self.pace = min(MAX_PACE, max(1.0, pace))
 
+    def note_call(self, taken_s: float, now_s: float) -> None:
+        """Take how long a call took."""
+        gain = CALL_GAIN if self.call_s else 1.0
+        self.call_s += gain * (taken_s - self.call_s)
+        self.call_at_s = now_s
+
     def add(self, work: Work) -> None:
         """Take one work."""
         begin_s = max(work.placed_s, self.read_free_s)
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 
 from .paused_loop import PausedCase, PausedLoop
 
@@ -83,6 +84,7 @@
         self._lost = False
         self._reading = True
         self._incoming = []
+        self._in_transit = deque()
         self._high = HIGH_WATER_BYTES
         self._unread = 0
         self._paused = False
@@ -143,7 +145,12 @@
     def _send(self, item):
         if self.silent or self._network.is_dark(self.address):
             return
-        self._loop.call_later(self._network.latency_s, self.other._receive, item)
+        # Timers of the same moment fire in any order, so each delivers whatever is next.
+        self._in_transit.append(item)
+        self._loop.call_later(self._network.latency_s, self._deliver)
+
+    def _deliver(self):
+        self.other._receive(self._in_transit.popleft())
 
     def _receive(self, item):
         if self._lost:
