--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,312 @@
+"""The adapter to the users' platform: settings, documents, headers and the store's framing."""
+
+import asyncio
+import json
+import re
+import unittest
+from pathlib import Path
+
+from cicadatiller.egress import ResponseHead
+from cicadatiller.fleet import StoreUnavailableError, TargetState, Topic
+from cicadatiller.gateway import RequestFields, TargetFields
+from cicadatiller.ingress import Request
+from cicadatiller.platform import (
+    DocumentError,
+    PlatformDocuments,
+    PlatformHeaders,
+    PlatformLog,
+    PlatformSettingsError,
+    parse_node_settings,
+)
+from cicadatiller.platform._log import decode_page, encode_record
+from cicadatiller.routes import RouteKind
+
+from .support.gateways import configuration, route
+from .support.streams import NetworkCase
+from .support.wire import StoreStandin
+
+SOURCES = Path(__file__).parents[1] / "src" / "cicadatiller"
+SETTINGS = {
+    "node_name": "front-1",
+    "zone": "north-a",
+    "ip": "10.1.0.40",
+    "internal_port_range": [7340, 7355],
+    "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+    "bounds": {
+        "grace_s": 8,
+        "drain_ms": 2000,
+        "config_converge_ms": 2000,
+        "retry_budget_ratio": 0.2,
+        "retry_budget_slack": 106,
+        "budget_window_s": 10,
+        "hold_max_ms": 20_000,
+        "free_ms": 4000,
+        "idle_max_ms": 9000,
+    },
+    "platform": {"address": "10.200.1.7:8223", "form": "log"},
+    "coming_next_year": True,
+}
+
+# What only the adapter may name: headers, topics, calls and fields that the project calls otherwise.
+PLATFORM_NAMES = (
+    "attempt-id",
+    "deadline-remaining",
+    "expect-instance",
+    "server-seal",
+    "not-executed",
+    "token-counts",
+    "length-hint",
+    "request-urgency",
+    "weight-versions",
+    "prompt-prefix",
+    "last-event-id",
+    "at-server",
+    "log-read",
+    "log-append",
+    "log-newest",
+    "keyed.op",
+    "keyed.servers",
+    "keyed.status",
+    'path_prefix"',
+    "target_latency_ms",
+    "traffic_split",
+    "stream_resume",
+    "cold_remaining",
+    "internal_port_range",
+    'grace_s"',
+    "node_name",
+    "CICADATILLER_SETTINGS",
+)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_fields_are_decoded_with_their_units(self):
+        node = parse_node_settings(SETTINGS)
+        self.assertEqual((node.name, node.data_centre), ("front-1", "north-a"))
+        self.assertEqual(node.peer_address, "10.1.0.40:7340")
+        self.assertEqual(node.store_address, "10.200.1.7:8223")
+        self.assertEqual(node.bounds.target_drain_s, 2.0)
+        self.assertEqual(node.bounds.hold_after_use_s, 4.0)
+        self.assertEqual(node.bounds.retry_slack, 106)
+
+    def test_every_wrong_field_is_named_at_once(self):
+        wrong = SETTINGS | {"zone": 7, "listen": {"front": ""}, "platform": 3}
+        del wrong["ip"]
+        with self.assertRaises(PlatformSettingsError) as caught:
+            parse_node_settings(wrong)
+        for name in ("zone", "ip", "listen.front", "listen.ready", "platform"):
+            self.assertIn(f"{name}: expected", str(caught.exception))
+
+    def test_bounds_that_a_deployment_does_not_have_keep_their_usual_value(self):
+        bounds = {k: v for k, v in SETTINGS["bounds"].items() if not k.startswith(("free", "idle"))}
+        node = parse_node_settings(SETTINGS | {"bounds": bounds})
+        self.assertEqual(node.bounds.hold_after_use_s, 4.0)
+
+
+class DocumentsTest(unittest.TestCase):
+    def decode(self, document):
+        return PlatformDocuments().decode_configuration(json.dumps(document).encode())
+
+    def test_routes(self):
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        table = self.decode(
+            configuration(
+                7,
+                routes=[
+                    route("stream", traffic_split=split, priority=2),
+                    route("unsafe", allow_anonymous=True, hostname="NORTH.example"),
+                ],
+            )
+        )
+        self.assertEqual(table.version, 7)
+        stream = table.find_route("north.example", "/stream/x")
+        self.assertEqual(stream.kind, RouteKind.STREAM)
+        self.assertEqual([(s.service, s.weight) for s in stream.splits], [("a", 90), ("b", 10)])
+        self.assertEqual((stream.timeout_s, stream.max_gap_s), (10.0, 0.25))
+        self.assertTrue(stream.is_idempotent)
+        unsafe = table.find_route("north.example", "/unsafe/x")
+        self.assertTrue(unsafe.allow_anonymous)
+        self.assertFalse(unsafe.is_idempotent)
+
+    def test_engines_are_decoded_into_seconds_and_tokens(self):
+        engine = self.decode(configuration(7)).services["engines"].engine
+        self.assertEqual((engine.slots, engine.chunk_tokens), (8, 2048))
+        self.assertAlmostEqual(engine.step_s, 0.00102)
+        self.assertAlmostEqual(engine.step_per_context_token_s, 4.3e-9)
+        self.assertAlmostEqual(engine.prefill_pair_s, 1.38e-10)
+
+    def test_keys_are_kept_hashed(self):
+        table = self.decode(configuration(7))
+        self.assertEqual(table.find_workspace(b"key-of-reef").name, "reef")
+        self.assertIsNone(table.find_workspace(b"key-of-"))
+        self.assertNotIn(b"key-of-reef", repr(vars(table)).encode())
+
+    def test_keys_are_needed_even_if_no_workspace_has_one(self):
+        self.assertTrue(self.decode(configuration(7, tenants=[])).needs_keys)
+        document = configuration(7)
+        del document["tenants"]
+        self.assertFalse(self.decode(document).needs_keys)
+
+    def test_what_can_not_be_read_is_an_error(self):
+        for value in (b"", b"\xff", b"[]", b"{}", b'{"version": "7", "routes": []}'):
+            with self.subTest(value=value), self.assertRaises(DocumentError):
+                PlatformDocuments().decode_configuration(value)
+
+    def test_targets(self):
+        entry = {
+            "service": "pool",
+            "address": "10.1.1.1:80",
+            "zone": "north-b",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining",
+            "cold_remaining_ms": 1500,
+            "sequence": 4,
+            "born": 1_700_000_000_000,
+        }
+        record = PlatformDocuments().decode_target("t-1", json.dumps(entry).encode())
+        self.assertEqual(record.state, TargetState.LEAVING)
+        self.assertEqual((record.data_centre, record.slow_start_s), ("north-b", 1.5))
+        self.assertEqual(record.started_ms, 1_700_000_000_000)
+
+
+class HeadersTest(unittest.TestCase):
+    def request(self, *headers, method=b"POST"):
+        return Request(
+            method=method,
+            target=b"/x",
+            headers=((b"Host", b"n"), *headers),
+            body=b"",
+            keep_alive=True,
+            read_at_s=0.0,
+        )
+
+    def test_callers_headers(self):
+        fields = PlatformHeaders().decode_request(
+            self.request(
+                (b"ATTEMPT-ID", b"a1"),
+                (b"Deadline-Remaining-Ms", b"2500"),
+                (b"Authorization", b"bearer  secret "),
+                (b"Token-Counts", b"1460,80"),
+                (b"Length-Hint", b"44"),
+                (b"Last-Event-Id", b"12"),
+            )
+        )
+        wanted = RequestFields(
+            request_id="a1",
+            host="n",
+            remaining_s=2.5,
+            key=b"secret",
+            prompt_tokens=1460,
+            max_output_tokens=80,
+            output_estimate_tokens=44,
+            last_event_id=b"12",
+        )
+        self.assertEqual(fields, wanted)
+
+    def test_values_that_can_not_be_read_are_left_out(self):
+        fields = PlatformHeaders().decode_request(
+            self.request(
+                (b"Deadline-Remaining-Ms", b"soon"),
+                (b"Authorization", b"Basic abc"),
+                (b"Token-Counts", b"many"),
+                (b"Length-Hint", b"-3"),
+            )
+        )
+        self.assertEqual(fields, RequestFields(request_id="", host="n"))
+
+    def test_what_a_target_gets(self):
+        request = self.request((b"Authorization", b"Bearer k"), (b"Token-Counts", b"9,9"))
+        fields = TargetFields(
+            instance_id="t-1",
+            remaining_s=1.5,
+            workspace="reef",
+            last_event_id=b"3",
+            urgency=2,
+            helpers=("10.0.0.1:80/w1", "10.0.0.2:80"),
+        )
+        lines = PlatformHeaders().encode_request(request, fields).split(b"\r\n")
+        for line in (
+            b"Deadline-Remaining-Ms: 1500",
+            b"Expect-Instance: t-1",
+            b"Tenant: reef",
+            b"Last-Event-Id: 3",
+            b"Request-Urgency: 2",
+            b"Helpers: 10.0.0.1:80/w1,10.0.0.2:80",
+            b"Token-Counts: 9,9",
+        ):
+            self.assertIn(line, lines)
+        self.assertFalse(any(line.startswith(b"Authorization") for line in lines))
+
+    def test_what_a_target_says(self):
+        def head(status, *headers):
+            return ResponseHead(status=status, headers=headers, has_length=True)
+
+        codec = PlatformHeaders()
+        self.assertTrue(codec.says_not_run(head(503, (b"Not-Executed", b"1"))))
+        self.assertTrue(codec.says_not_run(head(421)))
+        self.assertFalse(codec.says_not_run(head(503)))
+        self.assertFalse(codec.answers_request(head(200, (b"Attempt-Id", b"b")), "a"))
+        self.assertEqual(codec.blamed_target(head(503, (b"At-Server", b"t-9"))), "t-9")
+
+
+class LogFramingTest(unittest.TestCase):
+    def page(self, *contents, end=9, first=0):
+        body = end.to_bytes(8, "big") + first.to_bytes(8, "big")
+        return body + b"".join(len(c).to_bytes(4, "big") + c for c in contents)
+
+    def test_records_are_numbered_from_where_the_read_began(self):
+        page = decode_page(self.page(b"\x01av", b"\x01b", b"\x02bbw"), 5)
+        self.assertEqual(
+            [(r.offset, r.key, r.value) for r in page.records],
+            [(5, "a", b"v"), (6, "b", None), (7, "bb", b"w")],
+        )
+        self.assertEqual(page.next_offset, 8)
+
+    def test_records_of_other_writers_that_have_no_key_are_passed_over(self):
+        page = decode_page(self.page(b"", b"\x00v", b"\x09ab", b"\x02\xff\xfev", b"\x01av"), 0)
+        self.assertEqual([(r.offset, r.key) for r in page.records], [(4, "a")])
+        self.assertEqual(page.next_offset, 5)
+
+    def test_a_page_that_breaks_off_is_an_error(self):
+        whole = self.page(b"\x01av")
+        for size in (0, 7, 18, len(whole) - 1):
+            with self.subTest(size=size), self.assertRaises(StoreUnavailableError):
+                decode_page(whole[:size], 0)
+
+    def test_a_record_reads_back(self):
+        page = decode_page(self.page() + encode_record("key", b"value"), 0)
+        self.assertEqual([(r.key, r.value) for r in page.records], [("key", b"value")])
+        with self.assertRaises(ValueError):
+            encode_record("k" * 256, b"")
+
+
+class LogCallTest(NetworkCase):
+    def test_a_store_that_does_not_answer_is_left_in_time(self):
+        async def scenario():
+            store = StoreStandin()
+            await store.start("10.0.9.1", 80)
+            store.failing = lambda path: "hang"
+            log = PlatformLog(address="10.0.9.1:80")
+            began_s = asyncio.get_running_loop().time()
+            with self.assertRaises(StoreUnavailableError):
+                await log.read(Topic.TARGETS, 0)
+            return asyncio.get_running_loop().time() - began_s
+
+        self.assertLess(self.run_paused(scenario()), 2.0)
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_nothing_outside_the_adapter_knows_the_platforms_names(self):
+        names = re.compile("|".join(map(re.escape, PLATFORM_NAMES)), re.IGNORECASE)
+        for path in SOURCES.rglob("*.py"):
+            if "platform" in path.parts or "_generated" in path.parts:
+                continue
+            with self.subTest(path.name):
+                found = names.findall(path.read_text())
+                self.assertEqual(found, [])
+
+    def test_the_adapter_is_imported_by_nothing_else(self):
+        for path in SOURCES.rglob("*.py"):
+            if "platform" not in path.parts:
+                self.assertNotIn("from ..platform", path.read_text(), path.name)
