--- a/src/cicadatiller/cli/_check.py
+++ b/src/cicadatiller/cli/_check.py
@@ -1,5 +1,6 @@
 """The command `cicadatiller check-settings`."""
 
+import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -7,36 +8,64 @@
 import yaml
 
 from ..entry import EntrySettings
+from ..gateway import GatewaySettings
 from ..kernel import EXIT_BAD_SETTINGS, load_or_report
+from ..platform import PlatformSettingsError, check_deploy_file, load_node_settings
 from ..sidecar import SidecarSettings
 from ..standins import STANDIN_SETTINGS
 
 SETTINGS_TYPES: dict[str, type[Any]] = {
     "entry": EntrySettings,
     "sidecar": SidecarSettings,
+    "gateway": GatewaySettings,
     **STANDIN_SETTINGS,
 }
 
 
+DEPLOY_FILE = "deploy"
+PLATFORM_SETTINGS = "platform"
+PROGRAMS = (*SETTINGS_TYPES, DEPLOY_FILE, PLATFORM_SETTINGS)
+
+
 def check_settings(
-    file: Annotated[Path, typer.Argument(help="The YAML file with the settings.")],
+    file: Annotated[Path, typer.Argument(help="The file: YAML, or TOML for the platform's own.")],
     program: Annotated[
-        str, typer.Option(help=f"One of: {', '.join(SETTINGS_TYPES)}; found out if empty.")
+        str, typer.Option(help=f"One of: {', '.join(PROGRAMS)}; found out if empty.")
     ] = "",
 ) -> None:
-    """Check a settings file and print every mistake; the exit code is 2 if there is any."""
+    """Check a settings or deploy file and print every mistake; the exit code is 2 if there is any."""
     name = program or _guess_program(file)
-    settings_type = SETTINGS_TYPES.get(name)
-    if settings_type is None:
-        raise typer.BadParameter(f"unknown program {name!r}; use: {', '.join(SETTINGS_TYPES)}")
-    if load_or_report(file, settings_type) is None:
+    if name not in PROGRAMS:
+        raise typer.BadParameter(f"unknown program {name!r}; use: {', '.join(PROGRAMS)}")
+    if not _is_good(file, name):
         raise typer.Exit(EXIT_BAD_SETTINGS)
     typer.echo(f"{file}: good settings for {name}")
 
 
+def _is_good(file: Path, name: str) -> bool:
+    if name == DEPLOY_FILE:
+        return _report(file, check_deploy_file(file))
+    if name != PLATFORM_SETTINGS:
+        return load_or_report(file, SETTINGS_TYPES[name]) is not None
+    try:
+        load_node_settings(file)
+    except PlatformSettingsError as error:
+        return _report(file, tuple(str(error).split("; ")))
+    return True
+
+
+def _report(file: Path, mistakes: tuple[str, ...]) -> bool:
+    for mistake in mistakes:
+        typer.echo(f"{file}: {mistake}", err=True)
+    return not mistakes
+
+
 def _guess_program(file: Path) -> str:
     try:
-        data = yaml.safe_load(file.read_text(encoding="utf-8"))
+        text = file.read_text(encoding="utf-8")
+        data = tomllib.loads(text) if file.suffix == ".toml" else yaml.safe_load(text)
     except (OSError, yaml.YAMLError, ValueError, RecursionError):
-        return "entry"
+        return PLATFORM_SETTINGS if file.suffix == ".toml" else "entry"
+    if file.suffix == ".toml":
+        return DEPLOY_FILE if "roles" in data else PLATFORM_SETTINGS
     return "sidecar" if isinstance(data, dict) and "target" in data else "entry"
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -34,6 +34,7 @@
 
 CONFIGURATION_WAIT_S = 10.0
 SWEEP_INTERVAL_S = 1.0
+FIGURES_INTERVAL_S = 10.0
 OWNER_ID_DIGITS = 6
 
 # The balancer asks once a second and takes an entry out after two misses.
@@ -84,6 +85,7 @@
         self._directory = TargetDirectory()
         self._metrics = GatewayMetrics()
         self._known = asyncio.Event()
+        self._next_figures_s = self._loop.time() + FIGURES_INTERVAL_S
         self._clock = ClockWatch(loop_time_s=self._loop.time)
         self._configuration = ConfigurationSink(decoder=decoder, on_change=self._take_table)
         self._budget = RetryBudget(
@@ -163,12 +165,27 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._pool.sweep()
+            self._log_figures()
             suspended_s = self._clock.suspended_s()
             if suspended_s:
                 log_event(Event.CLOCK_JUMPED, suspended_s=round(suspended_s, 1))
                 for follower in self._followers.values():
                     follower.read_soon()
 
+    def _log_figures(self) -> None:
+        now_s = self._loop.time()
+        if now_s < self._next_figures_s:
+            return
+        self._next_figures_s = now_s + FIGURES_INTERVAL_S
+        added = self._metrics.added_us
+        log_event(
+            Event.FIGURES,
+            added_p50_ms=added.get_value_at_percentile(50) / 1000,
+            added_p95_ms=added.get_value_at_percentile(95) / 1000,
+            added_count=added.get_total_count(),
+            **self._gauges(),
+        )
+
     def _make_followers(
         self, log: KeyedLog, decoder: DocumentDecoder
     ) -> dict[Topic, TopicFollower]:
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -20,6 +20,7 @@
     SETTINGS_RELOADED = (105, "info", "The settings were read again.")
     SETTINGS_REFUSED = (106, "warning", "Changed settings can't be used; the old ones stay.")
     CLOCK_JUMPED = (107, "warning", "The process stood still; what it believed is read again.")
+    FIGURES = (108, "info", "What the process counted and measured so far.")
     REQUEST_FINISHED = (201, "info", "A request was answered in full.")
     REQUEST_REFUSED = (202, "info", "A request was refused before it ran.")
     REQUEST_FAILED = (203, "warning", "A request failed after it may have run.")
--- a/src/cicadatiller/platform/__init__.py
+++ b/src/cicadatiller/platform/__init__.py
@@ -1,5 +1,6 @@
 """The adapter to the users' platform: its names, formats and calls, and no decisions."""
 
+from ._deploy import check_deploy_file
 from ._documents import DocumentError, PlatformDocuments
 from ._headers import PlatformHeaders
 from ._log import PlatformLog
@@ -13,6 +14,7 @@
     "PlatformLog",
     "PlatformOrders",
     "PlatformSettingsError",
+    "check_deploy_file",
     "load_node_settings",
     "parse_node_settings",
 ]
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,388 @@
+"""Small parts of an entry on HTTP/1.1, each by itself."""
+
+import asyncio
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from cicadatiller.fleet import (
+    HistoryLostError,
+    KeyedPage,
+    KeyedRecord,
+    StoreUnavailableError,
+    Topic,
+)
+from cicadatiller.gateway import GatewaySettings, NodeSettings, SettingsWatch
+from cicadatiller.gateway._clock import ClockWatch
+from cicadatiller.gateway._events import MAX_EVENT_BYTES, EventSplitter, EventTooLongError
+from cicadatiller.gateway._followers import OUTAGE_S, RETURN_GRACE_S, TopicFollower
+from cicadatiller.gateway._outcomes import AttemptOutcome, Delivery, NextStep, decide
+from cicadatiller.gateway._retry_budget import RetryBudget
+from cicadatiller.ingress import Answer
+from cicadatiller.placement import CallCandidate, TargetLoad, Work, place_call
+
+from .support import PausedCase
+from .support.gateways import GatewayFleet
+from .support.streams import NetworkCase
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_events_come_out_whole_however_the_bytes_are_cut(self):
+        data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight: 3\nid: 3\ndata: c\n\n"
+        for size in (1, 2, 3, 7, len(data)):
+            with self.subTest(size=size):
+                splitter = EventSplitter()
+                events = []
+                for start in range(0, len(data), size):
+                    events += splitter.feed(data[start : start + size])
+                self.assertEqual([event.event_id for event in events], [b"1", b"2", b"3"])
+                self.assertEqual(b"".join(event.data for event in events), data)
+                self.assertFalse(splitter.has_rest)
+
+    def test_an_event_without_an_end_is_kept_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: a\n"), [])
+        self.assertTrue(splitter.has_rest)
+
+    def test_an_event_is_not_gathered_without_bound(self):
+        with self.assertRaises(EventTooLongError):
+            EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+class DecisionTest(unittest.TestCase):
+    def test_the_whole_table(self):
+        answer = Answer(status=500)
+        rows = [
+            # delivery, idempotent, may have run, sends left, next
+            (Delivery.UNSENT, False, False, 0, NextStep.RETRY),
+            (Delivery.REFUSED, False, False, 1, NextStep.RETRY),
+            (Delivery.REFUSED, False, False, 0, NextStep.REFUSE),
+            (Delivery.REFUSED, True, True, 0, NextStep.GIVE_UP),
+            (Delivery.LOST, True, True, 1, NextStep.RETRY),
+            (Delivery.LOST, True, True, 0, NextStep.GIVE_UP),
+            (Delivery.LOST, False, True, 5, NextStep.GIVE_UP),
+            (Delivery.FAILED, True, True, 1, NextStep.RETRY),
+            (Delivery.FAILED, True, True, 0, NextStep.PASS_ON),
+            (Delivery.FAILED, False, True, 5, NextStep.PASS_ON),
+        ]
+        for delivery, idempotent, may_have_run, left, wanted in rows:
+            with self.subTest(delivery=delivery, idempotent=idempotent, left=left):
+                outcome = AttemptOutcome(delivery=delivery, reason="", answer=answer)
+                step = decide(
+                    outcome, is_idempotent=idempotent, may_have_run=may_have_run, sends_left=left
+                )
+                self.assertIs(step, wanted)
+
+    def test_nothing_that_may_have_run_is_ever_said_not_to_have(self):
+        for delivery in Delivery:
+            for idempotent in (False, True):
+                for left in (0, 1):
+                    outcome = AttemptOutcome(delivery=delivery, reason="")
+                    step = decide(
+                        outcome, is_idempotent=idempotent, may_have_run=True, sends_left=left
+                    )
+                    self.assertIsNot(step, NextStep.REFUSE)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def budget(self, **limits):
+        return RetryBudget(**({"ratio": 0.2, "slack": 10, "window_s": 10} | limits))
+
+    def use_up(self, budget, now_s, tries=200):
+        return sum(budget.take("pool", now_s) for _ in range(tries))
+
+    def test_it_grows_with_the_requests_of_the_window(self):
+        budget = self.budget()
+        for number in range(100):
+            budget.note_request("pool", number / 100)
+        first = self.use_up(budget, 1.0)
+        self.assertLessEqual(first, 0.2 * 100 + 10)
+        self.assertGreaterEqual(first, 20)
+        self.assertEqual(self.use_up(budget, 5.0), 0)
+        self.assertLessEqual(self.use_up(budget, 20.0), 10)
+
+    def test_services_do_not_share_it(self):
+        budget = self.budget()
+        self.use_up(budget, 1.0)
+        self.assertTrue(budget.take("other", 1.0))
+
+    def test_what_peers_used_is_counted(self):
+        budget = self.budget()
+        budget.entries = 3
+        budget.note_peer("b", "pool", 0, 5)
+        budget.note_peer("c", "pool", 0, 3)
+        self.assertFalse(budget.take("pool", 1.0))
+        budget.forget_peer("b")
+        self.assertTrue(budget.take("pool", 1.0))
+
+    def test_between_reports_entries_together_stay_within_it(self):
+        budgets = [self.budget(slack=100) for _ in range(5)]
+        for budget in budgets:
+            budget.entries = 5
+        self.assertLessEqual(sum(self.use_up(budget, 1.0) for budget in budgets), 100)
+
+
+class FollowerTest(PausedCase):
+    class Log:
+        """A topic whose reads may fail."""
+
+        def __init__(self):
+            self.records = []
+            self.first = 0
+            self.fails = False
+            self.reads = 0
+
+        async def read_newest(self, topic):
+            self.check()
+            newest = {record.key: record for record in self.records}
+            return KeyedPage(records=tuple(newest.values()), next_offset=len(self.records))
+
+        async def read(self, topic, from_offset, *, wait_s=0.0):
+            self.check()
+            if from_offset < self.first:
+                raise HistoryLostError("gone")
+            return KeyedPage(
+                records=tuple(self.records[from_offset:]), next_offset=len(self.records)
+            )
+
+        def check(self):
+            self.reads += 1
+            if self.fails:
+                raise StoreUnavailableError("away")
+
+        def add(self, key, value=b"v"):
+            self.records.append(KeyedRecord(offset=len(self.records), key=key, value=value))
+
+    class Sink:
+        def __init__(self):
+            self.applied = []
+            self.replaced = []
+
+        def apply(self, record, *, grace_s):
+            self.applied.append((record.key, record.value, grace_s))
+
+        def replace(self, page, *, grace_s):
+            self.replaced.append(([record.key for record in page.records], grace_s))
+
+    def play(self, scenario):
+        async def run():
+            log, sink, told = self.Log(), self.Sink(), []
+            log.add("a")
+            follower = TopicFollower(
+                log=log,
+                topic=Topic.TARGETS,
+                sink=sink,
+                interval_s=0.5,
+                on_read=lambda topic, offset, page: told.append((offset, page.next_offset)),
+                on_change=lambda: None,
+            )
+            task = asyncio.get_running_loop().create_task(follower.run())
+            await asyncio.sleep(1.0)
+            result = await scenario(follower, log, sink, told)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return result
+
+        return self.run_paused(run())
+
+    def test_records_are_taken_once_and_told_to_peers(self):
+        async def scenario(follower, log, sink, told):
+            log.add("b")
+            await asyncio.sleep(1.0)
+            return sink.replaced, sink.applied, told[-1][1]
+
+        replaced, applied, offset = self.play(scenario)
+        self.assertEqual(replaced, [(["a"], 0.0)])
+        self.assertEqual(applied, [("b", b"v", 0.0)])
+        self.assertEqual(offset, 2)
+
+    def test_what_a_peer_read_is_not_read_again(self):
+        async def scenario(follower, log, sink, told):
+            before = log.reads
+            for number in range(20):
+                record = KeyedRecord(offset=1 + number, key=f"p{number}", value=b"v")
+                page = KeyedPage(records=(record,), next_offset=2 + number)
+                follower.take_from_peer(1 + number, page)
+                follower.take_from_peer(1 + number, page)
+                await asyncio.sleep(0.2)
+            return log.reads - before, len(sink.applied), follower.next_offset
+
+        self.assertEqual(self.play(scenario), (0, 20, 21))
+
+    def test_a_gap_in_what_peers_tell_is_not_passed_over(self):
+        async def scenario(follower, log, sink, told):
+            record = KeyedRecord(offset=5, key="late", value=b"v")
+            follower.take_from_peer(5, KeyedPage(records=(record,), next_offset=6))
+            return sink.applied, follower.next_offset
+
+        self.assertEqual(self.play(scenario), ([], 1))
+
+    def test_the_newest_of_a_peer_makes_up_for_a_gap(self):
+        async def scenario(follower, log, sink, told):
+            record = KeyedRecord(offset=5, key="b", value=b"v")
+            follower.take_from_peer(None, KeyedPage(records=(record,), next_offset=6))
+            follower.take_from_peer(None, KeyedPage(records=(), next_offset=3))
+            return sink.replaced[-1][0], follower.next_offset
+
+        self.assertEqual(self.play(scenario), (["b"], 6))
+
+    def test_a_removal_after_an_outage_may_be_taken_back(self):
+        async def scenario(follower, log, sink, told):
+            log.fails = True
+            await asyncio.sleep(OUTAGE_S + 2)
+            log.add("a", None)
+            log.fails = False
+            await asyncio.sleep(1.5)
+            log.add("b", None)
+            await asyncio.sleep(RETURN_GRACE_S + 0.5)
+            log.add("c", None)
+            await asyncio.sleep(1.0)
+            return {key: grace_s for key, _, grace_s in sink.applied}
+
+        graces = self.play(scenario)
+        self.assertEqual(graces["a"], RETURN_GRACE_S)
+        self.assertLess(graces["b"], RETURN_GRACE_S - 0.5)
+        self.assertEqual(graces["c"], 0.0)
+
+    def test_a_store_that_is_away_is_asked_at_a_bounded_rate(self):
+        async def scenario(follower, log, sink, told):
+            log.fails = True
+            before = log.reads
+            await asyncio.sleep(10)
+            return log.reads - before
+
+        self.assertLess(self.play(scenario), 20)
+
+    def test_it_is_read_at_once_when_what_is_known_may_be_old(self):
+        async def scenario(follower, log, sink, told):
+            page = KeyedPage(records=(), next_offset=1)
+            follower.take_from_peer(1, page)
+            log.add("b")
+            follower.read_soon()
+            await asyncio.sleep(0.01)
+            return [key for key, _, _ in sink.applied]
+
+        self.assertEqual(self.play(scenario), ["b"])
+
+
+class CallPlacingTest(unittest.TestCase):
+    def candidates(self, *call_s, slots=6):
+        found = []
+        for number, taken_s in enumerate(call_s):
+            load = TargetLoad()
+            if taken_s:
+                load.note_call(taken_s, 10.0)
+            found.append(CallCandidate(target_id=f"t{number}", load=load, slots=slots))
+        return found
+
+    def fill(self, candidate, count):
+        for number in range(count):
+            name = f"{candidate.target_id}-{number}"
+            candidate.load.add(Work(work_id=name, owner="a", target_id=candidate.target_id))
+
+    def test_the_one_that_answers_first_is_chosen(self):
+        self.assertEqual(place_call(self.candidates(0.02, 0.1, 0.03), 10.1), "t0")
+
+    def test_load_counts(self):
+        candidates = self.candidates(0.02, 0.025, 0.03)
+        self.fill(candidates[0], 5)
+        self.assertEqual(place_call(candidates, 10.1), "t1")
+
+    def test_one_that_was_slow_is_tried_again_later(self):
+        candidates = self.candidates(0.02, 0.5)
+        self.fill(candidates[0], 3)
+        self.assertEqual(place_call(candidates, 10.1), "t0")
+        candidates[0].load.note_call(0.02, 14.0)
+        self.assertEqual(place_call(candidates, 14.1), "t1")
+
+    def test_none_that_is_full_is_chosen(self):
+        candidates = self.candidates(0.02, 0.02, slots=2)
+        for candidate in candidates:
+            self.fill(candidate, 2)
+        self.assertIsNone(place_call(candidates, 10.1))
+
+
+class ClockWatchTest(unittest.TestCase):
+    def test_time_that_only_one_clock_counted_was_lost(self):
+        clocks = {"loop": 100.0, "boot": 5000.0}
+        watch = ClockWatch(loop_time_s=lambda: clocks["loop"], boot_time_s=lambda: clocks["boot"])
+        clocks["loop"] += 1
+        clocks["boot"] += 1.01
+        self.assertEqual(watch.suspended_s(), 0.0)
+        clocks["loop"] += 1
+        clocks["boot"] += 6
+        self.assertAlmostEqual(watch.suspended_s(), 5.0)
+        self.assertEqual(watch.suspended_s(), 0.0)
+
+
+class SettingsWatchTest(PausedCase):
+    def watch(self, folder, seen, load):
+        self.path = Path(folder) / "boot.toml"
+        self.path.write_text("first")
+        return SettingsWatch(path=self.path, load=load, on_change=seen.append)
+
+    def test_a_file_that_changes_without_a_signal_is_read(self):
+        async def scenario(watch):
+            task = asyncio.get_running_loop().create_task(watch.run())
+            await asyncio.sleep(3)
+            self.path.write_text("second, longer")
+            await asyncio.sleep(2)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        seen = []
+        with tempfile.TemporaryDirectory() as folder:
+            watch = self.watch(folder, seen, lambda path: node(path.read_text()))
+            self.run_paused(scenario(watch))
+        self.assertEqual([item.name for item in seen], ["second, longer"])
+
+    def test_a_file_that_can_not_be_used_changes_nothing(self):
+        def refuse(path):
+            raise ValueError("no")
+
+        seen = []
+        with tempfile.TemporaryDirectory() as folder:
+            watch = self.watch(folder, seen, refuse)
+            os.remove(self.path)
+            watch.reload()
+        self.assertEqual(seen, [])
+
+
+def node(name):
+    return NodeSettings(
+        name=name,
+        data_centre="north-a",
+        host="10.0.0.1",
+        caller_address="10.0.0.1:80",
+        readiness_address="10.0.0.1:81",
+        peer_port=82,
+        store_address="10.0.9.1:80",
+    )
+
+
+class MetricsTest(NetworkCase):
+    def test_they_are_shown_in_the_text_format(self):
+        async def scenario():
+            fleet = GatewayFleet()
+            fleet.settings = GatewaySettings(metrics_port=99)
+            await fleet.start(targets=("pool", "engines"))
+            await fleet.ask("safe")
+            await fleet.ask("stream")
+            await fleet.ask("safe", host="west.example")
+            return await fleet.page("10.0.0.1", 99, "/metrics"), await fleet.page(
+                "10.0.0.1", 99, "/other"
+            )
+
+        page, other = self.run_paused(scenario())
+        self.assertEqual((page.status, other.status), (200, 404))
+        text = page.body.decode()
+        for line in (
+            'cicadatiller_finished_total{status="200"} 2.0',
+            'cicadatiller_failed_total{kind="UNKNOWN_SERVICE"} 1.0',
+            'cicadatiller_sends_total{outcome="done"} 2.0',
+            "cicadatiller_targets 2.0",
+            'cicadatiller_first_event_seconds_count{prompt="<=4k"} 1.0',
+            "cicadatiller_added_seconds_p95",
+        ):
+            self.assertIn(line, text)
--- /dev/null
+++ b/tests/test_log_output.py
@@ -0,0 +1,74 @@
+"""Log lines that never block."""
+
+import asyncio
+import json
+import os
+import unittest
+
+from cicadatiller.kernel import LogOutput
+from cicadatiller.kernel._log_output import MAX_LINES_PER_EVENT, MAX_WAITING_BYTES
+
+
+class LogOutputTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.output = LogOutput(fd=self.writer)
+
+    def lines(self):
+        os.set_blocking(self.reader, False)
+        data = b""
+        while True:
+            try:
+                part = os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                break
+            data += part
+        return [json.loads(line) for line in data.splitlines() if line]
+
+    def say(self, number=201, timestamp=0.0, **fields):
+        self.output({"number": number, "timestamp": timestamp, **fields})
+
+    def test_each_message_is_a_line(self):
+        self.say(request_id="a", when=object)
+        self.say(request_id="b")
+        self.assertEqual([line["request_id"] for line in self.lines()], ["a", "b"])
+
+    def test_lines_of_one_event_are_bounded_and_counted(self):
+        for number in range(MAX_LINES_PER_EVENT + 25):
+            self.say(n=number)
+        self.say(number=202)
+        self.say(timestamp=1.5)
+        lines = self.lines()
+        self.assertEqual(len(lines), MAX_LINES_PER_EVENT + 2)
+        self.assertEqual(lines[-1]["left_out"], 25)
+        self.assertEqual(self.output.left_out, 25)
+
+    def test_a_reader_that_stops_costs_lines_and_no_time(self):
+        async def scenario():
+            text = "x" * 1000
+            count = 2 * (MAX_WAITING_BYTES + (1 << 20)) // 1000
+            for number in range(count):
+                self.say(number=number, text=text)
+            dropped = self.output.dropped
+            before = self.lines()
+            await asyncio.sleep(0)
+            while self.output._waiting:
+                await asyncio.sleep(0)
+                before += self.lines()
+            self.say(number=0, text="last")
+            return count, dropped, before, self.lines()
+
+        count, dropped, before, last = asyncio.run(scenario())
+        self.assertGreater(dropped, 0)
+        self.assertEqual(len(before), count - dropped)
+        self.assertEqual(last[0]["dropped"], dropped)
+
+    def test_a_reader_that_is_gone_raises_nothing(self):
+        reader, writer = os.pipe()
+        output = LogOutput(fd=writer)
+        os.close(reader)
+        output({"number": 1, "timestamp": 0.0})
+        os.close(writer)
+        self.assertEqual(output.dropped, 0)
