--- a/src/cicadatiller/fleet/_directory.py
+++ b/src/cicadatiller/fleet/_directory.py
@@ -6,6 +6,9 @@
 from ._breaker import Breaker
 from ._target import TargetRecord, TargetState
 
+# By then the entry of a target that leaves says so.
+NO_HELP_S = 3.0
+
 
 class Target:
     """One run of a target's program, as this entry sees it.
@@ -18,6 +21,7 @@
     def __init__(self, *, record: TargetRecord) -> None:
         self.record = record
         self.breaker = Breaker(name=record.instance_id)
+        self._no_help_until_s = float("-inf")
 
     @property
     def instance_id(self) -> str:
@@ -29,6 +33,14 @@
         """Tell whether it may be sent new work."""
         return self.record.state is TargetState.READY
 
+    def note_help_failed(self, now_s: float) -> None:
+        """Note that a request was refused because this target did not help with it."""
+        self._no_help_until_s = now_s + NO_HELP_S
+
+    def may_help(self, now_s: float) -> bool:
+        """Tell whether it may be asked to read parts of others' prompts."""
+        return now_s >= self._no_help_until_s
+
 
 class TargetDirectory:
     """The targets by the id of their run."""
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..egress import ConnectionPool, EgressConnection, EgressError, ResponseHead
 from ..fleet import Target
@@ -97,7 +98,9 @@
     async def _forward(self, job: Job, responder: Responder, progress: Progress) -> AttemptOutcome:
         while True:
             began_s = self._loop.time()
-            grant = await self._scheduler.acquire(job, excluded=progress.tried)
+            grant = await self._scheduler.acquire(
+                job, excluded=progress.tried, only=self._allowed(job, progress)
+            )
             progress.waited_s += self._loop.time() - began_s
             self._log_placed(grant, job, progress)
             try:
@@ -115,10 +118,17 @@
             if step is not NextStep.RETRY:
                 raise _failure(step, outcome, job)
 
+    def _allowed(self, job: Job, progress: Progress) -> frozenset[str] | None:
+        """Return the only targets that may be sent the request; None if any may."""
+        if len(progress.sent_to) < job.route.max_attempts:
+            return None
+        return frozenset(progress.sent_to)
+
     def _after_failure(
         self, grant: Grant, job: Job, outcome: AttemptOutcome, progress: Progress
     ) -> NextStep:
-        progress.tried.add(outcome.blamed or grant.host.instance_id)
+        if not outcome.blamed:
+            progress.tried.add(grant.host.instance_id)
         if outcome.delivery in (Delivery.LOST, Delivery.FAILED):
             progress.may_have_run = True
         self._on_failure(grant.host, outcome)
@@ -129,30 +139,31 @@
             target=grant.host.instance_id,
             delivery=outcome.delivery.value,
             reason=outcome.reason,
+            blamed=outcome.blamed,
             sends=progress.sends,
-            max_sends=job.route.max_attempts,
+            max_targets=job.route.max_attempts,
             last_event_id=progress.last_event_id.decode("latin-1"),
             next=step.value,
         )
         return step
 
     def _decide(self, job: Job, outcome: AttemptOutcome, progress: Progress) -> NextStep:
-        sends_left = job.route.max_attempts - progress.sends
-        step = self._decide_with(job, outcome, progress, sends_left)
+        targets_left = job.route.max_attempts - len(progress.sent_to)
+        step = decide(
+            outcome,
+            is_idempotent=job.route.is_idempotent,
+            may_have_run=progress.may_have_run,
+            targets_left=targets_left,
+        )
         if step is not NextStep.RETRY or progress.sends == 0:
             return step
         if self._budget.take(job.service, self._loop.time()):
             return step
-        return self._decide_with(job, outcome, progress, 0)
-
-    def _decide_with(
-        self, job: Job, outcome: AttemptOutcome, progress: Progress, sends_left: int
-    ) -> NextStep:
         return decide(
-            outcome,
+            replace(outcome, blamed=""),
             is_idempotent=job.route.is_idempotent,
             may_have_run=progress.may_have_run,
-            sends_left=sends_left,
+            targets_left=0,
         )
 
     async def _try(
@@ -169,6 +180,7 @@
         else:
             try:
                 progress.sends += 1
+                progress.sent_to.add(grant.host.instance_id)
                 return await self._exchange(connection, grant, held, job, responder, progress)
             finally:
                 self._pool.give_back(connection)
@@ -214,7 +226,7 @@
             async with asyncio.timeout(self._head_timeout_s(grant, job, progress)):
                 head = await connection.read_head()
             if self._codec.says_not_run(head):
-                return await self._read_refusal(connection, head)
+                return await self._read_refusal(connection, head, grant)
             if head.status == OK and job.route.kind is RouteKind.STREAM:
                 relay = StreamRelay(
                     codec=self._codec,
@@ -249,21 +261,22 @@
 
     def _head_timeout_s(self, grant: Grant, job: Job, progress: Progress) -> float | None:
         """Return after how long another target is tried; None to wait until the end."""
-        if not job.route.is_idempotent or progress.sends >= job.route.max_attempts:
+        if not job.route.is_idempotent or len(progress.sent_to) >= job.route.max_attempts:
             return None
         if grant.placing is None:
             return CALL_LATENCIES * job.route.target_latency_s
         return FIRST_EVENT_FACTOR * grant.placing.first_in_s + FIRST_EVENT_SLACK_S
 
     async def _read_refusal(
-        self, connection: EgressConnection, head: ResponseHead
+        self, connection: EgressConnection, head: ResponseHead, grant: Grant
     ) -> AttemptOutcome:
         await connection.read_whole_body(MAX_ANSWER_BYTES)
+        blamed = self._codec.blamed_target(head)
         return AttemptOutcome(
             delivery=Delivery.REFUSED,
             reason=f"the target refused it with status {head.status}",
             status=head.status,
-            blamed=self._codec.blamed_target(head),
+            blamed="" if blamed == grant.host.instance_id else blamed,
         )
 
     async def _read_answer(
--- a/src/cicadatiller/gateway/_outcomes.py
+++ b/src/cicadatiller/gateway/_outcomes.py
@@ -50,7 +50,7 @@
         reason: What happened.
         status: The status of the target's answer; 0 if there is none.
         answer: The target's answer, if it is a failure of its own.
-        blamed: The id of the target at fault, where another one answered for it.
+        blamed: The id of the helper at fault, where the target refused because of it.
         is_full: Whether a target only had no room.
     """
 
@@ -63,7 +63,7 @@
 
 
 def decide(
-    outcome: AttemptOutcome, *, is_idempotent: bool, may_have_run: bool, sends_left: int
+    outcome: AttemptOutcome, *, is_idempotent: bool, may_have_run: bool, targets_left: int
 ) -> NextStep:
     """Return what follows a send that brought no success.
 
@@ -71,14 +71,15 @@
         outcome: How it ended.
         is_idempotent: Whether the request may run more than once.
         may_have_run: Whether this send or one before it may have run.
-        sends_left: To how many more targets it may be sent.
+        targets_left: To how many more targets it may be sent. It may go again to one that refused it
+            because of a helper, whatever is left.
     """
     if outcome.delivery is Delivery.UNSENT:
         return NextStep.RETRY
     if outcome.delivery is Delivery.REFUSED:
-        if sends_left > 0:
+        if targets_left > 0 or outcome.blamed:
             return NextStep.RETRY
         return NextStep.GIVE_UP if may_have_run else NextStep.REFUSE
-    if is_idempotent and sends_left > 0:
+    if is_idempotent and targets_left > 0:
         return NextStep.RETRY
     return NextStep.PASS_ON if outcome.delivery is Delivery.FAILED else NextStep.GIVE_UP
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -278,9 +278,12 @@
 
     def _note_failure(self, target: Target, outcome: AttemptOutcome) -> None:
         """Take a target that did not bring a request to a good end."""
-        if outcome.is_full or outcome.blamed:
-            return
         now_s = self._loop.time()
+        if outcome.blamed:
+            self._note_help_failed(outcome.blamed, now_s)
+            return
+        if outcome.is_full:
+            return
         if outcome.delivery is Delivery.REFUSED and outcome.status != MISDIRECTED:
             return
         unreachable = outcome.delivery is Delivery.UNSENT
@@ -289,6 +292,12 @@
             self._pool.drop(target.record.address)
         self.team.target_failed(target.instance_id, outcome.reason)
 
+    def _note_help_failed(self, instance_id: str, now_s: float) -> None:
+        helper = self._directory.find(instance_id)
+        if helper is not None:
+            helper.note_help_failed(now_s)
+            self.team.target_failed(instance_id, "it did not help", is_helper=True)
+
     def _note_pace(self, instance_id: str, pace: float) -> None:
         load = self.board.load(instance_id)
         before = load.pace
--- a/src/cicadatiller/gateway/_progress.py
+++ b/src/cicadatiller/gateway/_progress.py
@@ -9,7 +9,8 @@
 
     Attributes:
         last_event_id: The last event that the caller has; empty if it has none.
-        sends: To how many targets it was sent.
+        sends: How often it was sent.
+        sent_to: The targets that it was sent to.
         may_have_run: Whether one of them may have run it.
         tried: The targets that it must not go to again.
         waited_s: How long it waited for a place.
@@ -19,6 +20,7 @@
 
     last_event_id: bytes = b""
     sends: int = 0
+    sent_to: set[str] = field(default_factory=set)
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     waited_s: float = 0.0
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -78,6 +78,7 @@
     job: Job
     prompt: Prompt | None
     excluded: frozenset[str]
+    only: frozenset[str] | None
     give_up_s: float
     future: asyncio.Future[Grant]
 
@@ -129,12 +130,15 @@
         """Return how many requests wait."""
         return len(self._waiters)
 
-    async def acquire(self, job: Job, *, excluded: Iterable[str] = ()) -> Grant:
+    async def acquire(
+        self, job: Job, *, excluded: Iterable[str] = (), only: frozenset[str] | None = None
+    ) -> Grant:
         """Return targets for a request, once they have room for it.
 
         Args:
             job: The request.
             excluded: Targets that it must not go to.
+            only: The only targets that it may go to; None for any.
 
         Raises:
             FailureError: If it can't be served in time; it was not sent then.
@@ -144,6 +148,7 @@
             job=job,
             prompt=self._describe(job, service),
             excluded=frozenset(excluded),
+            only=only,
             give_up_s=self._give_up_s(job, service),
             future=self._loop.create_future(),
         )
@@ -242,6 +247,8 @@
             raise fail(ErrorKind.NO_TARGET, f"all targets of {job.service} were tried")
         service = self._services(job.service)
         if service is None or service.engine is None or waiter.prompt is None:
+            if waiter.only is not None:
+                untried = [target for target in untried if target.instance_id in waiter.only]
             return self._place_call(untried, now_s)
         return self._place_prompt(waiter, service.engine, untried, now_s)
 
@@ -276,6 +283,8 @@
                 target_id=target.instance_id,
                 load=self._board.load(target.instance_id),
                 is_near=target.record.data_centre == self._data_centre,
+                may_host=waiter.only is None or target.instance_id in waiter.only,
+                may_help=target.may_help(now_s),
             )
             for target in pool
         ]
--- a/src/cicadatiller/gateway/_team.py
+++ b/src/cicadatiller/gateway/_team.py
@@ -86,9 +86,10 @@
             self._ended.append(work_id)
             self._schedule()
 
-    def target_failed(self, target_id: str, reason: str) -> None:
-        """Tell peers of a target that failed."""
-        self._failures.append(TargetFailure(target_id=target_id, reason=reason))
+    def target_failed(self, target_id: str, reason: str, *, is_helper: bool = False) -> None:
+        """Tell peers of a target that failed, by itself or as a helper."""
+        failure = TargetFailure(target_id=target_id, reason=reason, is_helper=is_helper)
+        self._failures.append(failure)
         self._schedule()
 
     def target_paced(self, target_id: str, pace: float) -> None:
@@ -173,7 +174,11 @@
 
     def _take_failure(self, failure: TargetFailure, now_s: float) -> None:
         target = self._directory.find(failure.target_id)
-        if target is not None:
+        if target is None:
+            return
+        if failure.is_helper:
+            target.note_help_failed(now_s)
+        else:
             target.breaker.note_failure(now_s)
 
     def _take_news(self, news: TopicNews) -> None:
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -79,10 +79,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetFailure:
-    """A target that did not bring a request to a good end."""
+    """A target that did not bring a request to a good end.
+
+    Attributes:
+        target_id: The target.
+        reason: What happened.
+        is_helper: Whether it only failed to help another target.
+    """
 
     target_id: str
     reason: str
+    is_helper: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -56,13 +56,15 @@
         target_id: The target.
         load: What it has to do.
         is_near: Whether it is in this entry's data centre.
-        is_trusted: Whether it may be asked to help others.
+        may_host: Whether it may get the request itself.
+        may_help: Whether it may read parts of others' prompts.
     """
 
     target_id: str
     load: TargetLoad
     is_near: bool = False
-    is_trusted: bool = True
+    may_host: bool = True
+    may_help: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -139,8 +141,8 @@
         self.load = load
         self.writers = load.writers()
         self.unread = load.unread()
-        self.has_slot = load.in_flight < model.slots
-        self.may_help = load.helping < model.slots and candidate.is_trusted
+        self.may_host = load.in_flight < model.slots and candidate.may_host
+        self.may_help = load.helping < model.slots and candidate.may_help
         self.free_kv_tokens = int(model.kv_capacity_tokens * KV_USABLE_SHARE) - load.kv_tokens
         self.wait_s = load.read_wait_s(now_s)
         self.pass_s = load.pace * pass_s(model, len(self.writers), load.context_tokens)
@@ -220,7 +222,7 @@
     prompt: Prompt, views: list[_View], ranked: list[_View], part_s: float, size: int
 ) -> _View | None:
     """Choose the target that writes; a prompt that is read alone is read there too."""
-    fitting = [view for view in views if view.has_slot and _fits(prompt, view, size)]
+    fitting = [view for view in views if view.may_host and _fits(prompt, view, size)]
     if not fitting:
         return None
     return min(
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -128,7 +128,8 @@
         runs: What it ran.
         orders: The orders that it took, as (operation, id).
         script: If set, called with the request and its number; returns what to do in its place:
-            a status (answered with a mark that it was not run), "hang", "reset", "lose" (run,
+            a status (answered with a mark that it was not run), "blame ID" (refused because of that
+            helper), "hang", "reset", "lose" (run,
             then reset), "error" (run, then status 500), a number of events after which the stream
             breaks off, or None for the usual answer.
     """
@@ -196,12 +197,16 @@
             responder.abort()
         elif isinstance(step, int) and step >= 400:
             await self._refuse(headers, step, responder)
+        elif isinstance(step, str) and step.startswith("blame "):
+            await self._refuse(headers, 503, responder, blamed=step[6:])
         else:
             await self._run(request, headers, step, responder)
 
-    async def _refuse(self, headers, status, responder):
+    async def _refuse(self, headers, status, responder, blamed=""):
         self.refused += 1
         marks = ((b"Attempt-Id", headers["attempt-id"].encode()), (b"Not-Executed", b"1"))
+        if blamed:
+            marks += ((b"At-Server", blamed.encode()),)
         await responder.answer(Answer(status=status, headers=marks))
 
     async def _run(self, request, headers, step, responder):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -70,17 +70,22 @@
             with self.subTest(delivery=delivery, idempotent=idempotent, left=left):
                 outcome = AttemptOutcome(delivery=delivery, reason="", answer=answer)
                 step = decide(
-                    outcome, is_idempotent=idempotent, may_have_run=may_have_run, sends_left=left
+                    outcome, is_idempotent=idempotent, may_have_run=may_have_run, targets_left=left
                 )
                 self.assertIs(step, wanted)
 
+    def test_a_target_that_refused_for_a_helper_may_be_asked_again(self):
+        outcome = AttemptOutcome(delivery=Delivery.REFUSED, reason="", blamed="t-2")
+        step = decide(outcome, is_idempotent=False, may_have_run=False, targets_left=0)
+        self.assertIs(step, NextStep.RETRY)
+
     def test_nothing_that_may_have_run_is_ever_said_not_to_have(self):
         for delivery in Delivery:
             for idempotent in (False, True):
                 for left in (0, 1):
                     outcome = AttemptOutcome(delivery=delivery, reason="")
                     step = decide(
-                        outcome, is_idempotent=idempotent, may_have_run=True, sends_left=left
+                        outcome, is_idempotent=idempotent, may_have_run=True, targets_left=left
                     )
                     self.assertIsNot(step, NextStep.REFUSE)
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -205,3 +205,30 @@
 
         reply = self.play(scenario, engines=6)
         self.assertEqual((reply.status, reply.whole), (200, True))
+
+
+class HelperTest(TicketCase):
+    def test_a_helper_that_refuses_is_left_out_by_all_entries(self):
+        async def scenario(fleet):
+            def refuse_with(bad, address):
+                def script(headers, number):
+                    return f"blame {bad}" if address in headers.get("helpers", "") else None
+
+                return script
+
+            bad = fleet.targets["t-2"]
+            for target in fleet.targets.values():
+                target.script = refuse_with("t-2", bad.address)
+            replies = []
+            for number in range(6):
+                replies.append(
+                    await fleet.ask(
+                        "stream", tokens=(210_000, 400), deadline_ms=15_000, entry=number % 2
+                    )
+                )
+            refused = sum(target.refused for target in fleet.targets.values())
+            return [reply.status for reply in replies], refused
+
+        statuses, refused = self.play(scenario, engines=6, entries=2)
+        self.assertEqual(statuses, [200] * 6)
+        self.assertEqual(refused, 1)
