--- a/src/cicadatiller/fleet/_directory.py
+++ b/src/cicadatiller/fleet/_directory.py
@@ -52,6 +52,13 @@
         """Return a target."""
         return self._targets.get(instance_id)
 
+    def find_at(self, address: str) -> Target | None:
+        """Return the target that listens at an address."""
+        for target in self._targets.values():
+            if target.record.address == address:
+                return target
+        return None
+
     def targets(self) -> Iterable[Target]:
         """Return all targets."""
         return self._targets.values()
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -271,12 +271,12 @@
         self, connection: EgressConnection, head: ResponseHead, grant: Grant
     ) -> AttemptOutcome:
         await connection.read_whole_body(MAX_ANSWER_BYTES)
-        blamed = self._codec.blamed_target(head)
+        blamed = self._codec.blamed_address(head)
         return AttemptOutcome(
             delivery=Delivery.REFUSED,
             reason=f"the target refused it with status {head.status}",
             status=head.status,
-            blamed="" if blamed == grant.host.instance_id else blamed,
+            blamed="" if blamed == grant.host.record.address else blamed,
         )
 
     async def _read_answer(
--- a/src/cicadatiller/gateway/_outcomes.py
+++ b/src/cicadatiller/gateway/_outcomes.py
@@ -50,7 +50,7 @@
         reason: What happened.
         status: The status of the target's answer; 0 if there is none.
         answer: The target's answer, if it is a failure of its own.
-        blamed: The id of the helper at fault, where the target refused because of it.
+        blamed: The address of the helper at fault, where the target refused because of it.
         is_full: Whether a target only had no room.
     """
 
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -292,11 +292,11 @@
             self._pool.drop(target.record.address)
         self.team.target_failed(target.instance_id, outcome.reason)
 
-    def _note_help_failed(self, instance_id: str, now_s: float) -> None:
-        helper = self._directory.find(instance_id)
+    def _note_help_failed(self, address: str, now_s: float) -> None:
+        helper = self._directory.find_at(address)
         if helper is not None:
             helper.note_help_failed(now_s)
-            self.team.target_failed(instance_id, "it did not help", is_helper=True)
+            self.team.target_failed(helper.instance_id, "it did not help", is_helper=True)
 
     def _note_pace(self, instance_id: str, pace: float) -> None:
         load = self.board.load(instance_id)
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -71,8 +71,8 @@
     def has_signature(self, head: ResponseHead) -> bool:
         """Tell whether an answer is signed by a target."""
 
-    def blamed_target(self, head: ResponseHead) -> str:
-        """Return the id of the target that is at fault for a refusal; empty if it is not said."""
+    def blamed_address(self, head: ResponseHead) -> str:
+        """Return the address of the target that is at fault for a refusal; empty if unsaid."""
 
     def caller_headers(self, head: ResponseHead) -> tuple[Header, ...]:
         """Return the headers of a target's answer that are passed on."""
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -28,7 +28,8 @@
 EXPECTED_WEIGHTS = b"expect-version"
 NOT_RUN = b"not-executed"
 SIGNATURE = b"server-seal"
-BLAMED_TARGET = b"at-server"
+# "IP:PORT" of the target that is at fault, which may be a helper.
+BLAMED_ADDRESS = b"at-server"
 RETRY_AFTER = b"Retry-After"
 
 _ONE_CONNECTION = frozenset(
@@ -107,9 +108,9 @@
         """Tell whether an answer is signed by a target."""
         return head.find(SIGNATURE) is not None
 
-    def blamed_target(self, head: ResponseHead) -> str:
-        """Return the id of the target that is at fault for a refusal; empty if it is not said."""
-        return (head.find(BLAMED_TARGET) or b"").decode("latin-1")
+    def blamed_address(self, head: ResponseHead) -> str:
+        """Return the address of the target that is at fault for a refusal; empty if unsaid."""
+        return (head.find(BLAMED_ADDRESS) or b"").decode("latin-1")
 
     def caller_headers(self, head: ResponseHead) -> tuple[Header, ...]:
         """Return the headers of a target's answer that are passed on."""
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -128,7 +128,7 @@
         runs: What it ran.
         orders: The orders that it took, as (operation, id).
         script: If set, called with the request and its number; returns what to do in its place:
-            a status (answered with a mark that it was not run), "blame ID" (refused because of that
+            a status (answered with a mark that it was not run), "blame ADDRESS" (refused because of that
             helper), "hang", "reset", "lose" (run,
             then reset), "error" (run, then status 500), a number of events after which the stream
             breaks off, or None for the usual answer.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -287,7 +287,7 @@
         self.assertTrue(codec.says_not_run(head(421)))
         self.assertFalse(codec.says_not_run(head(503)))
         self.assertFalse(codec.answers_request(head(200, (b"Attempt-Id", b"b")), "a"))
-        self.assertEqual(codec.blamed_target(head(503, (b"At-Server", b"t-9"))), "t-9")
+        self.assertEqual(codec.blamed_address(head(503, (b"At-Server", b"1.2.3.4:5"))), "1.2.3.4:5")
 
 
 class LogFramingTest(unittest.TestCase):
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -210,15 +210,15 @@
 class HelperTest(TicketCase):
     def test_a_helper_that_refuses_is_left_out_by_all_entries(self):
         async def scenario(fleet):
-            def refuse_with(bad, address):
+            def refuse_with(address):
                 def script(headers, number):
-                    return f"blame {bad}" if address in headers.get("helpers", "") else None
+                    return f"blame {address}" if address in headers.get("helpers", "") else None
 
                 return script
 
             bad = fleet.targets["t-2"]
             for target in fleet.targets.values():
-                target.script = refuse_with("t-2", bad.address)
+                target.script = refuse_with(bad.address)
             replies = []
             for number in range(6):
                 replies.append(
