Send the poll of the configuration anew once the store can be read again

The targets' topic, read every 0.5 s, shows when the store is back; the poll is then sent anew. The new test fails on the code before.

--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -51,6 +51,7 @@
         interval_s: How old the newest read of any entry may get before this one reads.
         on_read: Takes what this entry read: the topic, the offset from which, and the page.
         on_change: Called after records were taken, from the store or from a peer.
+        on_return: Called when the store was read again after it could not be.
 
     Attributes:
         next_offset: Where the next read begins; None while nothing is known.
@@ -66,6 +67,7 @@
         interval_s: float = 0.0,
         on_read: Callable[[Topic, int, KeyedPage], None],
         on_change: Callable[[], None],
+        on_return: Callable[[], None] = lambda: None,
     ) -> None:
         self.next_offset: int | None = None
         self._log = log
@@ -75,6 +77,7 @@
         self._interval_s = interval_s
         self._on_read = on_read
         self._on_change = on_change
+        self._on_return = on_return
         self._loop = asyncio.get_running_loop()
         self._newest: dict[str, KeyedRecord] = {}
         self._fresh_s = self._loop.time()
@@ -82,21 +85,33 @@
         self._failures = 0
         self._regained_s = float("-inf")
         self._wanted = asyncio.Event()
+        self._reading: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
             await self._wait_until_due()
             try:
-                await self._read_once()
+                async with asyncio.timeout(None) as self._reading:
+                    await self._read_once()
+            except TimeoutError:
+                log_event(Event.POLL_RENEWED, topic=self._topic.value, offset=self.next_offset)
             except StoreUnavailableError as error:
                 self._note_failure(error)
                 await asyncio.sleep(self._retry_delay_s())
+            finally:
+                self._reading = None
 
     def read_soon(self) -> None:
         """Have the topic read now, as what is known may be old."""
         self._fresh_s = float("-inf")
         self._wanted.set()
+        self.renew_poll()
+
+    def renew_poll(self) -> None:
+        """Send a read that waits for records anew, as the store may have lost it in an outage."""
+        if self._reading is not None and not self._reading.expired():
+            self._reading.reschedule(self._loop.time())
 
     def newest(self) -> KeyedPage:
         """Return the newest record of every key."""
@@ -186,9 +201,11 @@
 
     def _note_fresh(self) -> None:
         now_s = self._loop.time()
-        if now_s - self._fresh_s > OUTAGE_S:
-            self._regained_s = now_s
+        was_away = now_s - self._fresh_s > OUTAGE_S
         self._fresh_s = now_s
+        if was_away:
+            self._regained_s = now_s
+            self._on_return()
 
     def _grace_s(self) -> float:
         """Return how long a key that is removed now may still come back."""
@@ -219,3 +236,4 @@
                 failures=self._failures,
             )
             self._failures = 0
+            self._on_return()
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -211,6 +211,7 @@
                 interval_s=self._settings.target_read_interval_s,
                 on_read=self._note_read,
                 on_change=self._note_topic,
+                on_return=lambda: self._followers[Topic.CONFIGURATION].renew_poll(),
             ),
         }
 
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -58,6 +58,7 @@
     CONFIG_UNREADABLE = (608, "warning", "A configuration of the store could not be read.")
     ENTRY_UNREADABLE = (505, "warning", "The entry of a target could not be read.")
     LOG_READ_AGAIN = (609, "info", "The platform's log can be read again.")
+    POLL_RENEWED = (610, "info", "A read that waited on the store was sent anew.")
     ORDER_SENT = (700, "info", "An order was sent to an engine.")
     ORDER_FAILED = (701, "warning", "An order to an engine failed and will be retried.")
     ORDER_REFUSED = (702, "warning", "An engine refused an order with an old fencing number.")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -548,6 +548,19 @@
 
         self.assertEqual(self.play(scenario), (200, 401))
 
+    def test_a_poll_that_an_outage_swallowed_is_sent_anew(self):
+        async def scenario(fleet):
+            fleet.store.failing = lambda path: "hang"
+            fleet.network.silence_links_to("10.0.9.1:80")
+            await asyncio.sleep(6.0)
+            fleet.store.failing = None
+            await asyncio.sleep(3.0)
+            fleet.store.write("keyed.op", "config", configuration(4, routes=[route("safe")]))
+            await asyncio.sleep(1.0)
+            return (await fleet.ask("unsafe")).status
+
+        self.assertEqual(self.play(scenario), 404)
+
     def test_a_connection_to_the_store_that_falls_silent_is_left(self):
         async def scenario(fleet):
             fleet.network.silence_links_to("10.0.9.1:80")
