Ask a silent target whether it lives; blame nobody for one's own standstill

Ruled out: the store, the placing itself.

- A time limit that passes while data waits is no silence.
- After 0.6 s of silence the target is asked; one that answers is waited for, one that does not is left at once (before: any pause of 1 s cut the stream).
- A peer's failure counts once a second, and not beside an own success.
- The work of a peer that fell silent is kept for 3 s: targets go on with it.

--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -205,6 +205,11 @@
         self._reads_until_close = False
         self._require_transport().write(request)
 
+    @property
+    def has_news(self) -> bool:
+        """Tell whether a read would return at once: with data, at the end, or with an error."""
+        return bool(self._heads or self._body) or self._is_complete or self._error is not None
+
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers; raises `EgressError`."""
         while not self._heads:
--- a/src/cicadatiller/fleet/_breaker.py
+++ b/src/cicadatiller/fleet/_breaker.py
@@ -1,5 +1,6 @@
 """Keeps work away from targets that fail or are far slower than their pool."""
 
+import math
 import random
 import statistics
 from collections.abc import Sequence
@@ -21,6 +22,7 @@
 MIN_FAILURE_SAMPLES = 5
 FAILURE_SHARE_TO_OPEN = 0.3
 RELAPSE_S = 5.0
+PEER_FAILURE_S = 1.0
 
 
 class Breaker:
@@ -47,6 +49,8 @@
         self._probe_s = 0.0
         self._wait_s = FIRST_PROBE_S
         self._closed_s: float | None = None
+        self._success_s = -math.inf
+        self._peer_failures_s: dict[str, float] = {}
         self._random = random.Random(name)
 
     @property
@@ -79,6 +83,8 @@
     def note_success(self, now_s: float = 0.0) -> None:
         """Note work that succeeded."""
         self._failures = 0
+        self._success_s = now_s
+        self._peer_failures_s.clear()
         self._note_outcome(0.0)
         if not self.is_open:
             return
@@ -102,6 +108,19 @@
         elif unreachable or self._failures >= FAILURES_TO_OPEN:
             self.open(now_s, "unreachable" if unreachable else "consecutive failures")
 
+    def note_peer_failure(self, peer: str, now_s: float) -> None:
+        """Note a failure that a peer saw.
+
+        It counts once a second for each peer, and not beside a success of this process's own, as
+        the trouble may be the peer's.
+        """
+        if now_s - self._success_s < PEER_FAILURE_S:
+            return
+        if now_s - self._peer_failures_s.get(peer, -math.inf) < PEER_FAILURE_S:
+            return
+        self._peer_failures_s[peer] = now_s
+        self.note_failure(now_s)
+
     def note_slowness(self, ratio: float) -> None:
         """Take the ratio of an observed to an estimated time to first token."""
         self.samples += 1
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -1,7 +1,7 @@
 """Sends a request to targets until one answers, and brings the answer back."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from ..egress import ConnectionPool, EgressConnection, EgressError, ResponseHead
@@ -13,6 +13,7 @@
 from ._job import Job
 from ._metrics import GatewayMetrics
 from ._outcomes import AttemptOutcome, Delivery, NextStep, decide
+from ._patience import read_patiently
 from ._progress import Progress
 from ._retry_budget import RetryBudget
 from ._scheduler import Grant, Scheduler
@@ -30,7 +31,9 @@
 # A call that may be repeated goes elsewhere after so many times its wanted latency.
 CALL_LATENCIES = 2.5
 FIRST_EVENT_FACTOR = 3.0
-FIRST_EVENT_SLACK_S = 1.0
+FIRST_EVENT_SLACK_S = 0.5
+# A target that lives is waited for so many times as long for its first event.
+HEAD_PATIENCE = 2.0
 # The target may close a connection that has been idle just as a request is sent on it, and then
 # nobody knows whether it ran.
 UNSAFE_MAX_IDLE_S = 1.0
@@ -47,6 +50,7 @@
         budget: Limits how many requests are sent once more.
         metrics: Counts.
         on_failure: Takes a target that did not bring a request to a good end, and why.
+        is_alive: Asks a target whether it lives.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         budget: RetryBudget,
         metrics: GatewayMetrics,
         on_failure: Callable[[Target, AttemptOutcome], None],
+        is_alive: Callable[[Target], Awaitable[bool]],
     ) -> None:
         self._codec = codec
         self._pool = pool
@@ -67,6 +72,7 @@
         self._budget = budget
         self._metrics = metrics
         self._on_failure = on_failure
+        self._is_alive = is_alive
         self._loop = asyncio.get_running_loop()
 
     async def forward(self, job: Job, responder: Responder, progress: Progress) -> AttemptOutcome:
@@ -223,8 +229,7 @@
             )
             self._note_sent(job, progress)
             sent_s = self._loop.time()
-            async with asyncio.timeout(self._head_timeout_s(grant, job, progress)):
-                head = await connection.read_head()
+            head = await self._read_head(connection, grant, job, progress)
             if self._codec.says_not_run(head):
                 return await self._read_refusal(connection, head, grant)
             if head.status == OK and job.route.kind is RouteKind.STREAM:
@@ -234,6 +239,7 @@
                     progress=progress,
                     responder=responder,
                     on_first_event=lambda: self._note_first_event(grant, job, progress),
+                    is_alive=lambda: self._is_alive(grant.host),
                 )
                 return await relay.run(connection, head)
             outcome = await self._read_answer(connection, head, job, responder, progress)
@@ -241,8 +247,19 @@
             return outcome
         except (EgressError, EventTooLongError) as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
-        except TimeoutError:
-            return AttemptOutcome(delivery=Delivery.LOST, reason="the target fell silent")
+
+    async def _read_head(
+        self, connection: EgressConnection, grant: Grant, job: Job, progress: Progress
+    ) -> ResponseHead:
+        first_s = self._head_timeout_s(grant, job, progress)
+        is_call = grant.placing is None
+        return await read_patiently(
+            connection.read_head,
+            connection,
+            first_s=first_s,
+            whole_s=(first_s or 0.0) * (1.0 if is_call else HEAD_PATIENCE),
+            is_alive=lambda: self._is_alive(grant.host),
+        )
 
     def _encode(
         self, grant: Grant, held: HeldTickets | None, job: Job, progress: Progress
--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -47,6 +47,7 @@
         self._peers = peers
         self._on_pace = on_pace
         self._on_silent = on_silent
+        self._asked: dict[str, asyncio.Task[bool]] = {}
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -55,6 +56,28 @@
             for target in self._own_targets():
                 self._tasks.start(self._ask(target), name=f"report of {target.instance_id}")
 
+    async def is_alive(self, target: Target) -> bool:
+        """Ask an engine whether it lives; questions at the same time share one call.
+
+        Targets that are no engines can't be asked, and count as dead.
+        """
+        if not self._is_engine(target.record.service):
+            return False
+        asking = self._asked.get(target.instance_id)
+        if asking is None:
+            asking = asyncio.get_running_loop().create_task(self._ask_once(target))
+            self._asked[target.instance_id] = asking
+            asking.add_done_callback(lambda _: self._asked.pop(target.instance_id, None))
+        return await asyncio.shield(asking)
+
+    async def _ask_once(self, target: Target) -> bool:
+        report = await self._orders.report(target.record.address)
+        if report is None:
+            self._on_silent(target)
+            return False
+        self._on_pace(target.instance_id, report.pace)
+        return True
+
     def _own_targets(self) -> list[Target]:
         entries = [self._name, *self._peers()]
         return [
@@ -67,11 +90,7 @@
         ]
 
     async def _ask(self, target: Target) -> None:
-        report = await self._orders.report(target.record.address)
-        if report is None:
-            self._on_silent(target)
-            return
-        self._on_pace(target.instance_id, report.pace)
+        await self.is_alive(target)
 
 
 def _entry_for(target: Target, entries: list[str]) -> str:
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -264,6 +264,7 @@
             budget=self._budget,
             metrics=self._metrics,
             on_failure=self._note_failure,
+            is_alive=self._prober.is_alive,
         )
         return RequestHandler(
             codec=codec,
--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -1,18 +1,22 @@
 """Passes the events of a target's stream on to the caller."""
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ..egress import AnswerBrokenError, EgressConnection, ResponseHead
 from ..ingress import Responder
 from ..routes import Route
 from ._events import EventSplitter, StreamEvent
 from ._outcomes import AttemptOutcome, Delivery
+from ._patience import read_patiently
 from ._progress import Progress
 from ._wire import WireCodec
 
-GAP_FACTOR = 3.0
-MIN_GAP_TIMEOUT_S = 1.0
+# A stream that is silent for so many times its longest wanted pause has its target asked.
+ASK_GAPS = 2.0
+MIN_ASK_S = 0.6
+# One that is silent for so many is given up. Callers leave after about eight.
+GIVE_UP_GAPS = 6.0
+MIN_GIVE_UP_S = 1.5
 
 
 class StreamRelay:
@@ -26,6 +30,7 @@
         progress: What the caller has.
         responder: Takes the answer.
         on_first_event: Called at the first event of this target.
+        is_alive: Asks whether the target lives.
     """
 
     def __init__(
@@ -36,12 +41,14 @@
         progress: Progress,
         responder: Responder,
         on_first_event: Callable[[], None],
+        is_alive: Callable[[], Awaitable[bool]],
     ) -> None:
         self._codec = codec
         self._route = route
         self._progress = progress
         self._responder = responder
         self._on_first_event = on_first_event
+        self._is_alive = is_alive
         self._splitter = EventSplitter()
 
     async def run(self, connection: EgressConnection, head: ResponseHead) -> AttemptOutcome:
@@ -50,15 +57,9 @@
         Raises:
             EgressError: If it breaks off.
             EventTooLongError: If an event has no end.
-            TimeoutError: If the target falls silent.
         """
         has_begun = False
-        gap_s = self._gap_timeout_s()
-        while True:
-            async with asyncio.timeout(gap_s):
-                data = await connection.read_body()
-            if not data:
-                break
+        while data := await self._read(connection):
             events = self._splitter.feed(data)
             if events and not has_begun:
                 has_begun = True
@@ -87,11 +88,15 @@
         if not self._responder.has_begun:
             await self._responder.start_stream(head.status, self._codec.caller_headers(head))
 
-    def _gap_timeout_s(self) -> float | None:
-        """Return after which silence another target goes on; None if none may."""
-        if not self._route.is_resumable:
-            return None
-        return max(MIN_GAP_TIMEOUT_S, GAP_FACTOR * (self._route.max_gap_s or 0.0))
+    async def _read(self, connection: EgressConnection) -> bytes:
+        gap_s = self._route.max_gap_s or 0.0
+        return await read_patiently(
+            connection.read_body,
+            connection,
+            first_s=max(MIN_ASK_S, ASK_GAPS * gap_s) if self._route.is_resumable else None,
+            whole_s=max(MIN_GIVE_UP_S, GIVE_UP_GAPS * gap_s),
+            is_alive=self._is_alive,
+        )
 
 
 def _follows(event_id: bytes, last_event_id: bytes) -> bool:
--- a/src/cicadatiller/gateway/_team.py
+++ b/src/cicadatiller/gateway/_team.py
@@ -22,6 +22,8 @@
 from ._retry_budget import RetryBudget
 
 SHARE_DELAY_S = 0.3
+# By then most of what a silent peer had placed has ended.
+SILENT_WORK_S = 3.0
 
 
 class Team:
@@ -136,7 +138,7 @@
         for work_id in update.ended:
             self._board.remove(work_id, theirs.pop(work_id, ()), now_s)
         for failure in update.failures:
-            self._take_failure(failure, now_s)
+            self._take_failure(name, failure, now_s)
         for paced in update.paces:
             self._board.load(paced.target_id).note_pace(paced.pace)
         for use in update.retries:
@@ -149,15 +151,25 @@
         self._budget.entries = 1 + len(self.mesh.heard_peers)
         self._on_change()
 
-    def peer_lost(self, name: str) -> None:
-        """Forget the work of a peer that is gone."""
-        self._forget(name, self._loop.time())
-        self._theirs.pop(name, None)
+    def peer_lost(self, name: str, *, is_silent: bool) -> None:
+        """Forget the work of a peer that is gone.
+
+        One that only fell silent may stand still or be cut off while targets go on with its work.
+        """
+        if is_silent:
+            self._loop.call_later(SILENT_WORK_S, self._forget_unheard, name)
+        else:
+            self._forget(name, self._loop.time())
         self._peer_offsets.pop(name, None)
         self._budget.forget_peer(name)
         self._budget.entries = 1 + len(self.mesh.heard_peers)
         self._on_change()
 
+    def _forget_unheard(self, name: str) -> None:
+        if name not in self.mesh.heard_peers:
+            self._forget(name, self._loop.time())
+            self._on_change()
+
     def _take_added(
         self,
         name: str,
@@ -172,14 +184,14 @@
         for work_id, target_ids in targets.items():
             theirs[work_id] = tuple(target_ids)
 
-    def _take_failure(self, failure: TargetFailure, now_s: float) -> None:
+    def _take_failure(self, name: str, failure: TargetFailure, now_s: float) -> None:
         target = self._directory.find(failure.target_id)
         if target is None:
             return
         if failure.is_helper:
             target.note_help_failed(now_s)
         else:
-            target.breaker.note_failure(now_s)
+            target.breaker.note_peer_failure(name, now_s)
 
     def _take_news(self, news: TopicNews) -> None:
         follower = self._followers.get(Topic(news.topic))
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -17,8 +17,13 @@
     def peer_said(self, name: str, update: Update) -> None:
         """Take an update."""
 
-    def peer_lost(self, name: str) -> None:
-        """Note that nothing is heard of a peer any more."""
+    def peer_lost(self, name: str, *, is_silent: bool) -> None:
+        """Note that nothing is heard of a peer any more.
+
+        Args:
+            name: The peer.
+            is_silent: Whether it fell silent; else its end of the link was closed.
+        """
 
     def snapshot(self) -> Update:
         """Return all that a peer has to know."""
@@ -121,6 +126,7 @@
             await older.close()
         self.meet(greeting.address)
         reason = ""
+        is_silent = False
         try:
             while True:
                 update = await self._receive(channel)
@@ -129,12 +135,15 @@
                 self._listener.peer_said(name, update)
                 if update.known_offsets is not None:
                     await channel.send(_HEARD)
-        except (ChannelClosedError, FailureError, TimeoutError) as error:
+        except (ChannelClosedError, FailureError) as error:
             reason = repr(error)
+        except TimeoutError:
+            reason = f"silent for {self._timing.silence_s} s"
+            is_silent = True
         finally:
             if self._heard.get(name) is channel:
                 del self._heard[name]
-                self._listener.peer_lost(name)
+                self._listener.peer_lost(name, is_silent=is_silent)
                 log_event(Event.PEER_LOST, peer=name, reason=reason)
 
     async def _receive(self, channel: Channel) -> object:
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -217,7 +217,7 @@
             decoder=PlatformDocuments(),
             pool=pool,
             orders=PlatformOrders(pool=pool),
-            transport=self.peers,
+            transport=self.peers.bind(node.peer_address),
         )
         stop = asyncio.Event()
         self._stops.append(stop)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -248,6 +248,42 @@
         self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True))
         self.assertLess(reply.taken_s, 2.0)
 
+    def test_a_target_that_is_only_busy_keeps_its_stream(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.gap_s = 1.2
+            return await fleet.ask("stream", deadline_ms=10_000), len(fleet.runs)
+
+        reply, runs = self.play(scenario, targets=("engines", "engines"))
+        self.assertEqual((reply.events, runs), ([1, 2, 3, 4, 5], 1))
+
+    def test_a_target_that_does_not_answer_loses_its_stream_sooner(self):
+        async def scenario(fleet):
+            asking = fleet.loop.create_task(fleet.ask("stream"))
+            await asyncio.sleep(0.15)
+            for target in fleet.targets.values():
+                if target.runs:
+                    fleet.network.dark.add(target.address)
+            return await asking
+
+        reply = self.play(scenario, targets=("engines", "engines"))
+        self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True))
+        self.assertLess(reply.taken_s, 1.7)
+
+    def test_a_process_that_stood_still_does_not_blame_its_targets(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.gap_s = 0.5
+            asking = fleet.loop.create_task(fleet.ask("stream", deadline_ms=20_000))
+            await asyncio.sleep(0.7)
+            # Only the entry's clock jumps: its timers are due before its data is read.
+            fleet.loop.advance(4.0)
+            reply = await asking
+            return reply, len(fleet.runs)
+
+        reply, runs = self.play(scenario, targets=("engines", "engines"))
+        self.assertEqual((reply.events, runs), ([1, 2, 3, 4, 5], 1))
+
     def test_a_caller_may_go_on_after_its_last_event(self):
         async def scenario(fleet):
             reply = await fleet.ask("stream", headers=((b"Last-Event-Id", b"3"),))
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from cicadatiller.fleet import (
+    Breaker,
     HistoryLostError,
     KeyedPage,
     KeyedRecord,
@@ -308,6 +309,27 @@
         self.assertIsNone(place_call(candidates, 10.1))
 
 
+class PeerFailureTest(unittest.TestCase):
+    def test_one_peer_alone_does_not_open_a_breaker_at_once(self):
+        breaker = Breaker(name="t-1")
+        for _ in range(10):
+            breaker.note_peer_failure("a", 10.0)
+        self.assertFalse(breaker.is_open)
+
+    def test_several_peers_do(self):
+        breaker = Breaker(name="t-1")
+        for peer in ("a", "b", "c"):
+            breaker.note_peer_failure(peer, 10.0)
+        self.assertTrue(breaker.is_open)
+
+    def test_a_success_of_ones_own_goes_before_what_peers_say(self):
+        breaker = Breaker(name="t-1")
+        breaker.note_success(9.5)
+        for peer in ("a", "b", "c"):
+            breaker.note_peer_failure(peer, 10.0)
+        self.assertFalse(breaker.is_open)
+
+
 class ClockWatchTest(unittest.TestCase):
     def test_time_that_only_one_clock_counted_was_lost(self):
         clocks = {"loop": 100.0, "boot": 5000.0}
