--- a/src/cicadatiller/gateway/_handler.py
+++ b/src/cicadatiller/gateway/_handler.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..ingress import Request, Responder
-from ..kernel import Event, FailureError, RunState, log_event
+from ..kernel import Event, FailureError, RunState, StallWatch, log_event
 from ..routes import RouteTable
 from ._admission import admit
 from ._answers import failure_answer, failure_status
@@ -26,6 +26,7 @@
         table: Returns the configuration in force; None while none is known.
         forwarder: Sends requests to targets.
         metrics: Counts.
+        stall: Notices that the process stood still.
         known: Set once configuration and targets are known.
         chance: Chooses among the services of a route.
     """
@@ -37,6 +38,7 @@
         table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
         metrics: GatewayMetrics,
+        stall: StallWatch,
         known: asyncio.Event,
         chance: random.Random,
     ) -> None:
@@ -44,6 +46,7 @@
         self._table = table
         self._forwarder = forwarder
         self._metrics = metrics
+        self._stall = stall
         self._known = known
         self._chance = chance
         self._loop = asyncio.get_running_loop()
@@ -52,6 +55,8 @@
         """Answer one request."""
         fields = self._codec.decode_request(request)
         progress = Progress(last_event_id=fields.last_event_id)
+        # Many who asked during a standstill have left; their close is read in a moment.
+        await self._stall.settle()
         if not self._known.is_set():
             await self._wait_until_known()
         table = self._table()
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -6,7 +6,7 @@
 from ..egress import ConnectionPool
 from ..fleet import KeyedLog, KeyedPage, Target, TargetDirectory, Topic
 from ..ingress import IngressServer
-from ..kernel import Event, TaskSet, log_event, new_incarnation
+from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
 from ..mesh import Greeting
 from ..peer import Transport, split_address
 from ..placement import LoadBoard
@@ -84,6 +84,7 @@
         self.board = LoadBoard()
         self._directory = TargetDirectory()
         self._metrics = GatewayMetrics()
+        self._stall = StallWatch()
         self._known = asyncio.Event()
         self._next_figures_s = self._loop.time() + FIGURES_INTERVAL_S
         self._clock = ClockWatch(loop_time_s=self._loop.time)
@@ -111,6 +112,7 @@
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until the event is set, then shut down gracefully."""
+        self._stall.start()
         await self._callers.start(*split_address(self._node.caller_address))
         await self._pages.start(
             self._node.readiness_address, self._node.host, self._settings.metrics_port
@@ -137,6 +139,7 @@
 
     async def close(self) -> None:
         """Stop at once."""
+        self._stall.close()
         self._callers.close()
         self._pages.close()
         await self.team.mesh.close()
@@ -271,6 +274,7 @@
             table=lambda: self._configuration.table,
             forwarder=forwarder,
             metrics=self._metrics,
+            stall=self._stall,
             known=self._known,
             chance=random.Random(),
         )
@@ -337,6 +341,7 @@
     def _gauges(self) -> dict[str, float]:
         table = self._configuration.table
         return {
+            "stalls": self._stall.stalls,
             "config_version": 0 if table is None else table.version,
             "caller_connections": self._callers.open_connections,
             "requests_waiting": self._scheduler.waiting,
--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -39,6 +39,7 @@
     not_negative,
     parse_settings,
 )
+from ._stall import StallWatch
 from ._states import RequestState
 
 __all__ = [
@@ -68,6 +69,7 @@
     "RpcCode",
     "RunState",
     "SecretSetting",
+    "StallWatch",
     "SettingsError",
     "TaskSet",
     "above_zero",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -353,6 +353,21 @@
         self.assertEqual(len(runs), 8)
         self.assertNotIn("left", runs)
 
+    def test_who_left_during_a_standstill_is_not_served(self):
+        async def scenario(fleet):
+            transport, _ = await fleet.loop.create_connection(asyncio.Protocol, "10.0.0.1", 80)
+            await asyncio.sleep(0.05)
+            # The entry stands still: it reads a request and, a little later, the close.
+            fleet.loop.advance(3.0)
+            transport.write(fleet.render("stream"))
+            fleet.loop.call_later(0.01, transport.abort)
+            staying = await fleet.ask("stream")
+            await asyncio.sleep(0.5)
+            return staying, len(fleet.runs)
+
+        staying, runs = self.play(scenario, targets=("engines",))
+        self.assertEqual((staying.status, runs), (200, 1))
+
     def test_a_request_without_any_target_is_refused_at_once(self):
         async def scenario(fleet):
             return await fleet.ask("unsafe"), await fleet.ask("stream")
