--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -16,6 +16,7 @@
     Placing,
     Prompt,
     Work,
+    is_worth_it,
     pass_s,
     place_call,
     place_prompt,
@@ -33,6 +34,8 @@
 NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
 OUTPUT_MARGIN = 1.3
+# For this share of the time that a prompt may wait, it waits for a place that harms others little.
+SETTLE_SHARE = 0.7
 ASSUMED_OUTPUT_SHARE = 0.5
 
 
@@ -79,6 +82,7 @@
     prompt: Prompt | None
     excluded: frozenset[str]
     only: frozenset[str] | None
+    settle_s: float
     give_up_s: float
     future: asyncio.Future[Grant]
 
@@ -144,12 +148,15 @@
             FailureError: If it can't be served in time; it was not sent then.
         """
         service = self._services(job.service)
+        give_up_s = self._give_up_s(job, service)
+        arrived_s = job.request.read_at_s
         waiter = _Waiter(
             job=job,
             prompt=self._describe(job, service),
             excluded=frozenset(excluded),
             only=only,
-            give_up_s=self._give_up_s(job, service),
+            settle_s=arrived_s + SETTLE_SHARE * (give_up_s - arrived_s),
+            give_up_s=give_up_s,
             future=self._loop.create_future(),
         )
         grant = self._try(waiter)
@@ -291,6 +298,8 @@
         placing = place_prompt(prompt, candidates, model, now_s)
         if placing is None:
             return None
+        if not is_worth_it(placing, prompt) and now_s < waiter.settle_s:
+            return None
         by_id = {target.instance_id: target for target in pool}
         works = self._works(prompt, placing, model, now_s)
         grant = Grant(
--- a/src/cicadatiller/gateway/_team.py
+++ b/src/cicadatiller/gateway/_team.py
@@ -22,8 +22,7 @@
 from ._retry_budget import RetryBudget
 
 SHARE_DELAY_S = 0.3
-# By then most of what a silent peer had placed has ended.
-SILENT_WORK_S = 3.0
+MAX_SILENT_WORK_S = 10.0
 
 
 class Team:
@@ -157,7 +156,7 @@
         One that only fell silent may stand still or be cut off while targets go on with its work.
         """
         if is_silent:
-            self._loop.call_later(SILENT_WORK_S, self._forget_unheard, name)
+            self._forget_as_it_ends(name)
         else:
             self._forget(name, self._loop.time())
         self._peer_offsets.pop(name, None)
@@ -165,9 +164,18 @@
         self._budget.entries = 1 + len(self.mesh.heard_peers)
         self._on_change()
 
-    def _forget_unheard(self, name: str) -> None:
+    def _forget_as_it_ends(self, name: str) -> None:
+        now_s = self._loop.time()
+        for work_id, target_ids in self._theirs.get(name, {}).items():
+            works = (self._board.load(target).works.get(work_id) for target in target_ids)
+            ends_s = max((w.expected_end_s for w in works if w is not None), default=now_s)
+            rest_s = min(MAX_SILENT_WORK_S, max(0.0, ends_s - now_s))
+            self._loop.call_later(rest_s, self._forget_unheard, name, work_id)
+
+    def _forget_unheard(self, name: str, work_id: str) -> None:
         if name not in self.mesh.heard_peers:
-            self._forget(name, self._loop.time())
+            target_ids = self._theirs.get(name, {}).pop(work_id, ())
+            self._board.remove(work_id, target_ids, self._loop.time())
             self._on_change()
 
     def _take_added(
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -27,6 +27,8 @@
 FAR_COST = 0.005
 TIGHT_GAP_PASSES = 8.0
 KV_USABLE_SHARE = 0.95
+HARM_FOR_GAIN = 0.6
+HARM_FOR_LATE = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,7 +88,9 @@
         host_kv_tokens: The memory that the host needs.
         part_read_s: The time that each member reads.
         first_in_s: When the first event is expected, from now on.
-        cost: What the choice is expected to lose.
+        own_loss: What the prompt itself is expected to lose.
+        harm: What others are expected to lose by it.
+        cost: What the choice is weighed by: both, and what makes it unhandy.
     """
 
     host_id: str
@@ -95,6 +99,8 @@
     host_kv_tokens: int = 0
     part_read_s: float = 0.0
     first_in_s: float = 0.0
+    own_loss: float = 0.0
+    harm: float = 0.0
     cost: float = 0.0
 
 
@@ -110,6 +116,15 @@
     return _ramp(pause_s / max_gap_s, GAP_LATE_FROM_RATIO, GAP_LATE_UNTIL_RATIO)
 
 
+def is_worth_it(placing: Placing, prompt: Prompt) -> bool:
+    """Tell whether a prompt gains by starting now more than others lose.
+
+    One that is late anyway can wait for a moment in which it harms nobody.
+    """
+    gain = prompt.worth - placing.own_loss
+    return placing.harm <= HARM_FOR_GAIN * gain + HARM_FOR_LATE * prompt.worth
+
+
 def place_prompt(
     prompt: Prompt, candidates: Sequence[Candidate], model: EngineModel, now_s: float
 ) -> Placing | None:
@@ -198,9 +213,11 @@
     members = [host, *helpers]
     reading_s = max(view.begins_in() + part_s * view.load.pace for view in members)
     first_s = reading_s + model.steps_per_pass * model.step_s * host.load.pace
-    cost = sum(view.harm(part_s) for view in members)
-    cost += _own_loss(prompt, host, first_s) + MEMBER_COST * (size - 1)
-    cost += _hosting_cost(host, prompt)
+    harm = sum(view.harm(part_s) for view in members)
+    own_loss = prompt.worth * late_chance(first_s, prompt.due_in_s)
+    own_loss += prompt.worth * gap_late_chance(host.pause_s, prompt.max_gap_s)
+    unhandy = prompt.worth * FINISH_WEIGHT * first_s / _scale(prompt)
+    unhandy += MEMBER_COST * (size - 1) + _opening_cost(host, prompt)
     return Placing(
         host_id=host.target_id,
         helper_ids=tuple(view.target_id for view in helpers),
@@ -208,7 +225,9 @@
         host_kv_tokens=host_kv_tokens,
         part_read_s=part_s,
         first_in_s=first_s,
-        cost=cost,
+        own_loss=min(prompt.worth, own_loss),
+        harm=harm,
+        cost=harm + own_loss + unhandy,
     )
 
 
@@ -239,9 +258,16 @@
 
 
 def _hosting_cost(view: _View, prompt: Prompt) -> float:
+    late = prompt.worth * gap_late_chance(view.pause_s, prompt.max_gap_s)
+    return late + _opening_cost(view, prompt)
+
+
+def _opening_cost(view: _View, prompt: Prompt) -> float:
+    """Return what speaks against a host beside what is lost at once.
+
+    A stream with short gaps on a target that has none yet keeps long reads away from one more.
+    """
     cost = 0.0 if view.candidate.is_near else FAR_COST
-    pause_s = view.pause_s
-    cost += prompt.worth * gap_late_chance(pause_s, prompt.max_gap_s)
     is_tight = prompt.max_gap_s < TIGHT_GAP_PASSES * view.pass_s
     if is_tight and not any(
         work.max_gap_s <= prompt.max_gap_s for work in view.load.works.values()
@@ -250,11 +276,6 @@
     return cost
 
 
-def _own_loss(prompt: Prompt, host: _View, first_s: float) -> float:
-    late = late_chance(first_s, prompt.due_in_s)
-    return prompt.worth * (late + FINISH_WEIGHT * first_s / _scale(prompt))
-
-
 def _scale(prompt: Prompt) -> float:
     return max(prompt.due_in_s, prompt.max_gap_s)
 
--- a/src/cicadatiller/placement/_work.py
+++ b/src/cicadatiller/placement/_work.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+WRITE_MARGIN = 1.3
+
 
 @dataclass(kw_only=True, slots=True)
 class Work:
@@ -23,6 +25,7 @@
         write_s: How long the writing will take.
         placed_s: When it was placed, by the clock of the one who looks.
         has_begun: Whether its first event was seen.
+        read_ends_s: When its part is expected to have been read, by the same clock.
     """
 
     work_id: str
@@ -40,3 +43,8 @@
     placed_s: float = 0.0
     has_begun: bool = False
     read_ends_s: float = 0.0
+
+    @property
+    def expected_end_s(self) -> float:
+        """Return when it is expected to be over, by the clock of the one who looks."""
+        return max(self.placed_s, self.read_ends_s) + WRITE_MARGIN * self.write_s
