--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -133,7 +133,7 @@
     def _after_failure(
         self, grant: Grant, job: Job, outcome: AttemptOutcome, progress: Progress
     ) -> NextStep:
-        if not outcome.blamed:
+        if not outcome.blamed and not outcome.is_full:
             progress.tried.add(grant.host.instance_id)
         if outcome.delivery in (Delivery.LOST, Delivery.FAILED):
             progress.may_have_run = True
@@ -180,6 +180,8 @@
             held = await self._reserve(grant)
             connection = await self._connect(grant, job, progress)
         except NoRoomError as error:
+            for target in error.refusing:
+                target.note_help_failed(self._loop.time())
             return AttemptOutcome(delivery=Delivery.UNSENT, reason=str(error), is_full=True)
         except EgressError as error:
             return AttemptOutcome(delivery=Delivery.UNSENT, reason=str(error))
--- a/src/cicadatiller/gateway/_orders.py
+++ b/src/cicadatiller/gateway/_orders.py
@@ -19,9 +19,11 @@
 
     Attributes:
         pace: How much slower it is than its model; 1 if it is as fast.
+        tickets: The names of its reservations.
     """
 
     pace: float = 1.0
+    tickets: frozenset[str] = frozenset()
 
 
 class EngineOrders(Protocol):
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -255,6 +255,7 @@
             board=self.board,
             services=self._find_service,
             listener=self.team,
+            ticket_risk=lambda: self._tickets.risk,
             weights=self._settings.weights,
         )
 
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -103,6 +103,7 @@
         board: What they have to do.
         services: Returns a service of the configuration in force.
         listener: Is told what is placed.
+        ticket_risk: Returns the chance that a reservation of memory fails.
         weights: How requests are weighed.
     """
 
@@ -115,6 +116,7 @@
         board: LoadBoard,
         services: Callable[[str], Service | None],
         listener: WorkListener,
+        ticket_risk: Callable[[], float] = lambda: 0.0,
         weights: WorthWeights | None = None,
     ) -> None:
         self._owner = owner
@@ -123,6 +125,7 @@
         self._board = board
         self._services = services
         self._listener = listener
+        self._ticket_risk = ticket_risk
         self._weights = weights or WorthWeights()
         self._waiters: list[_Waiter] = []
         self._counter = itertools.count(1)
@@ -295,7 +298,7 @@
             )
             for target in pool
         ]
-        placing = place_prompt(prompt, candidates, model, now_s)
+        placing = place_prompt(prompt, candidates, model, now_s, ticket_risk=self._ticket_risk())
         if placing is None:
             return None
         if not is_worth_it(placing, prompt) and now_s < waiter.settle_s:
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -12,8 +12,11 @@
 # A reservation whose owner is gone has to lapse before the engine's memory counts as leaked.
 HOLD_SHARE = 0.85
 RENEW_SHARE = 0.5
-SETTLE_INTERVAL_S = 1.5
+RESERVE_TRIES = 3
+RISK_GAIN = 0.1
+# An order without an answer may take effect for so long; until then it is looked for.
 SETTLE_S = 13.0
+SETTLE_INTERVAL_S = 1.2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,14 +27,27 @@
     target: Target
     tokens: int
 
+    @property
+    def address(self) -> str:
+        """Return the engine's address."""
+        return self.target.record.address
+
     @property
     def helper(self) -> str:
         """Return how a request names it."""
-        return f"{self.target.record.address}/{self.name}"
+        return f"{self.address}/{self.name}"
 
 
 class NoRoomError(Exception):
-    """An engine did not reserve the memory."""
+    """Engines did not reserve the memory.
+
+    Attributes:
+        refusing: The engines that did not.
+    """
+
+    def __init__(self, message: str, refusing: tuple[Target, ...]) -> None:
+        super().__init__(message)
+        self.refusing = refusing
 
 
 class TicketOffice:
@@ -41,9 +57,13 @@
         orders: Sends orders to engines.
         bounds: How long memory may stay reserved.
         tasks: Runs what goes on after a request has ended.
+
+    Attributes:
+        risk: The share of orders of late that got no answer.
     """
 
     def __init__(self, *, orders: EngineOrders, bounds: Bounds, tasks: TaskSet) -> None:
+        self.risk = 0.0
         self._orders = orders
         self._tasks = tasks
         self.set_bounds(bounds)
@@ -66,60 +86,65 @@
         ]
         held = HeldTickets(office=self, tickets=tuple(tickets))
         try:
-            results = await asyncio.gather(*(self.reserve(ticket) for ticket in tickets))
+            results = await asyncio.gather(*(self._reserve(ticket, held) for ticket in tickets))
         except BaseException:
+            held.is_unsettled = True
             held.give_back()
             raise
-        if any(result is not ReserveResult.HELD for result in results):
-            held.give_back(unsettled=ReserveResult.UNKNOWN in results)
-            refused = ", ".join(
-                f"{ticket.target.instance_id}: {result.value}"
-                for ticket, result in zip(tickets, results, strict=True)
-            )
-            raise NoRoomError(f"memory was not reserved ({refused})")
-        log_event(Event.GANG_RESERVED, work=work_id, tickets=[t.helper for t in tickets])
+        pairs = tuple(zip(tickets, results, strict=True))
+        refusing = tuple(t.target for t, result in pairs if result is not ReserveResult.HELD)
+        if refusing:
+            held.give_back()
+            told = ", ".join(f"{t.target.instance_id}: {result.value}" for t, result in pairs)
+            raise NoRoomError(f"memory was not reserved ({told})", refusing)
+        log_event(Event.GANG_RESERVED, work=work_id, tickets=[ticket.helper for ticket in tickets])
         return held
 
-    async def reserve(self, ticket: Ticket) -> ReserveResult:
-        """Reserve, or renew, one ticket."""
-        return await self._orders.reserve(
-            ticket.target.record.address, ticket.name, tokens=ticket.tokens, hold_s=self._hold_s
-        )
-
-    def start_release(self, ticket: Ticket, *, unsettled: bool) -> None:
-        """Release a ticket in the background."""
-        self._tasks.start(self._release(ticket, unsettled), name=f"release {ticket.name}")
-
-    def start_renewing(self, held: "HeldTickets") -> asyncio.Task[None]:
-        """Keep tickets from lapsing until the task is cancelled."""
-        return self._tasks.start(self._renew(held), name="renew tickets")
-
-    async def _renew(self, held: "HeldTickets") -> None:
+    async def renew(self, held: "HeldTickets") -> None:
+        """Keep tickets from lapsing until cancelled."""
         while True:
             await asyncio.sleep(RENEW_SHARE * self._hold_s)
-            results = await asyncio.gather(*(self.reserve(ticket) for ticket in held.tickets))
-            if ReserveResult.UNKNOWN in results:
-                held.is_unsettled = True
+            await asyncio.gather(*(self._reserve(ticket, held) for ticket in held.tickets))
 
-    async def _release(self, ticket: Ticket, unsettled: bool) -> None:
-        """Release until it is confirmed.
+    async def release(self, ticket: Ticket, *, is_unsettled: bool) -> None:
+        """Release a ticket until that is certain.
 
-        An order without an answer may take effect seconds later, so that what it reserved then has
-        to be released again.
+        An order without an answer may take effect seconds later. What it reserved then is found in
+        the engine's report, and released again.
         """
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + (SETTLE_S if unsettled else 0.0)
-        address = ticket.target.record.address
-        while True:
-            confirmed = await self._orders.release(address, ticket.name)
-            if not confirmed and loop.time() >= until_s:
-                until_s = loop.time() + SETTLE_S if not unsettled else until_s
-                unsettled = True
-            if loop.time() >= until_s:
-                break
+        confirmed = await self._orders.release(ticket.address, ticket.name)
+        until_s = loop.time() + (SETTLE_S if is_unsettled or not confirmed else 0.0)
+        while loop.time() < until_s:
             await asyncio.sleep(SETTLE_INTERVAL_S)
+            report = await self._orders.report(ticket.address)
+            if report is not None and ticket.name in report.tickets:
+                confirmed = await self._orders.release(ticket.address, ticket.name)
         log_event(Event.GANG_RELEASED, ticket=ticket.name, confirmed=confirmed)
 
+    def start_release(self, ticket: Ticket, *, is_unsettled: bool) -> None:
+        """Release a ticket in the background."""
+        release = self.release(ticket, is_unsettled=is_unsettled)
+        self._tasks.start(release, name=f"release {ticket.name}")
+
+    def start_renewing(self, held: "HeldTickets") -> asyncio.Task[None]:
+        """Keep tickets from lapsing until the task is cancelled."""
+        return self._tasks.start(self.renew(held), name="renew tickets")
+
+    async def _reserve(self, ticket: Ticket, held: "HeldTickets") -> ReserveResult:
+        """Reserve or renew one ticket; an order may be sent again, as its name is the same."""
+        result = ReserveResult.UNKNOWN
+        for _ in range(RESERVE_TRIES):
+            result = await self._orders.reserve(
+                ticket.address, ticket.name, tokens=ticket.tokens, hold_s=self._hold_s
+            )
+            is_lost = result is ReserveResult.UNKNOWN
+            self.risk += RISK_GAIN * (is_lost - self.risk)
+            if not is_lost:
+                break
+            held.is_unsettled = True
+        return result
+
 
 class HeldTickets:
     """The reservations of one request.
@@ -139,10 +164,10 @@
         """Renew them until they are given back."""
         self._renewing = self._office.start_renewing(self)
 
-    def give_back(self, *, unsettled: bool = False) -> None:
+    def give_back(self) -> None:
         """Release them in the background."""
         if self._renewing is not None:
             self._renewing.cancel()
             self._renewing = None
         for ticket in self.tickets:
-            self._office.start_release(ticket, unsettled=unsettled or self.is_unsettled)
+            self._office.start_release(ticket, is_unsettled=self.is_unsettled)
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -24,6 +24,7 @@
 FINISH_WEIGHT = 0.15
 MEMBER_COST = 0.02
 OPENING_COST = 0.1
+TICKET_COST = 0.3
 FAR_COST = 0.005
 TIGHT_GAP_PASSES = 8.0
 KV_USABLE_SHARE = 0.95
@@ -126,14 +127,27 @@
 
 
 def place_prompt(
-    prompt: Prompt, candidates: Sequence[Candidate], model: EngineModel, now_s: float
+    prompt: Prompt,
+    candidates: Sequence[Candidate],
+    model: EngineModel,
+    now_s: float,
+    *,
+    ticket_risk: float = 0.0,
 ) -> Placing | None:
-    """Choose the targets of a prompt; None if none has room for it now."""
+    """Choose the targets of a prompt; None if none has room for it now.
+
+    Args:
+        prompt: What is to be placed.
+        candidates: The targets.
+        model: How fast they are.
+        now_s: The time.
+        ticket_risk: The chance that a reservation fails.
+    """
     views = [_View(candidate, model, now_s) for candidate in candidates]
     total_s = read_s(model, prompt.tokens)
     best: Placing | None = None
     for size in _gang_sizes(prompt, len(views)):
-        placing = _place_in_gang(prompt, views, model, total_s, size)
+        placing = _place_in_gang(prompt, views, model, total_s, size, ticket_risk)
         if placing is not None and (best is None or placing.cost < best.cost):
             best = placing
     return best
@@ -196,7 +210,12 @@
 
 
 def _place_in_gang(
-    prompt: Prompt, views: list[_View], model: EngineModel, total_s: float, size: int
+    prompt: Prompt,
+    views: list[_View],
+    model: EngineModel,
+    total_s: float,
+    size: int,
+    ticket_risk: float,
 ) -> Placing | None:
     part_s = total_s / size
     ranked = sorted(views, key=lambda view: _reading_cost(view, prompt, part_s, size))
@@ -218,6 +237,7 @@
     own_loss += prompt.worth * gap_late_chance(host.pause_s, prompt.max_gap_s)
     unhandy = prompt.worth * FINISH_WEIGHT * first_s / _scale(prompt)
     unhandy += MEMBER_COST * (size - 1) + _opening_cost(host, prompt)
+    unhandy += len(shares) * (TICKET_COST + ticket_risk * prompt.worth)
     return Placing(
         host_id=host.target_id,
         helper_ids=tuple(view.target_id for view in helpers),
--- a/src/cicadatiller/platform/_orders.py
+++ b/src/cicadatiller/platform/_orders.py
@@ -7,7 +7,7 @@
 from ..gateway import EngineReport, ReserveResult
 from ..kernel import Event, log_event
 
-CALL_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 0.25
 MAX_ANSWER_BYTES = 64 * 1024
 
 OK = 200
@@ -54,11 +54,13 @@
         if answer is None or answer[0] != OK:
             return None
         try:
-            pace = float(json.loads(answer[1]).get("pace", 1.0))
-        except (ValueError, TypeError, AttributeError) as error:
+            document = json.loads(answer[1])
+            pace = float(document.get("pace", 1.0))
+            tickets = frozenset(str(row["id"]) for row in document.get("tickets") or ())
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             log_event(Event.ENTRY_UNREADABLE, name=address, error=repr(error))
             return None
-        return EngineReport(pace=pace)
+        return EngineReport(pace=pace, tickets=tickets)
 
     async def _send(self, address: str, order: dict[str, str | int]) -> int | None:
         """Return the status; None if no answer came, so that the order may still take effect."""
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -180,7 +180,8 @@
         headers = {name.lower().decode(): value.decode() for name, value in request.headers}
         if request.target == b"/report":
             self.reports += 1
-            body = json.dumps({"pace": self.pace, "running": len(self.runs)}).encode()
+            tickets = [{"id": name, "tokens": size} for name, size in self.tickets.items()]
+            body = json.dumps({"pace": self.pace, "tickets": tickets}).encode()
             await responder.answer(Answer(status=200, body=body))
             return
         if request.target == b"/order":
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -168,16 +168,36 @@
             target.answer_orders = hang_and_apply
             await self.ask(fleet)
             appeared = False
+            stays = []
             for _ in range(200):
                 await asyncio.sleep(0.1)
                 appeared |= bool(target.tickets)
-            return late, appeared, self.held(fleet)
+                stays.append(bool(target.tickets))
+            longest = max(len(run) for run in "".join("x" if s else " " for s in stays).split())
+            return late, appeared, longest / 10, self.held(fleet)
 
-        late, appeared, held = self.play(scenario)
-        if late:
-            self.assertTrue(appeared)
+        late, appeared, longest_s, held = self.play(scenario)
+        self.assertTrue(late and appeared)
+        self.assertLess(longest_s, 2.0)
         self.assertEqual(held, [])
 
+    def test_an_order_that_got_no_answer_is_sent_again(self):
+        async def scenario(fleet):
+            asked = []
+
+            def lose_first(order):
+                asked.append(order["id"])
+                return "hang" if asked.count(order["id"]) == 1 else 200
+
+            for target in fleet.targets.values():
+                target.answer_orders = lose_first
+            reply = await self.ask(fleet)
+            return reply, len(fleet.runs)
+
+        reply, runs = self.play(scenario)
+        self.assertEqual((reply.status, reply.whole, runs), (200, True, 1))
+        self.assertLess(reply.taken_s, 1.0)
+
     def test_a_release_without_an_answer_is_sent_again(self):
         async def scenario(fleet):
             seen = []
