--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -61,6 +61,7 @@
         is_open: Whether it may still be used.
         is_reused: Whether it has carried an exchange before.
         idle_since_s: When its last exchange ended, by the loop's time.
+        received_s: When bytes came last, by the loop's time.
         keep_alive_s: How long the server keeps it while idle; None if the server did not say.
     """
 
@@ -69,6 +70,7 @@
         self.is_open = True
         self.is_reused = False
         self.idle_since_s = 0.0
+        self.received_s = 0.0
         self.keep_alive_s: float | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -102,6 +104,7 @@
             # Nothing was asked for: these bytes belong to no request.
             self._fail(AnswerBrokenError("bytes came that belong to no request"))
             return
+        self.received_s = self._loop.time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -178,7 +178,7 @@
         held: HeldTickets | None = None
         try:
             held = await self._reserve(grant)
-            connection = await self._connect(grant, job, progress)
+            connection = await self._connect(grant, job)
         except NoRoomError as error:
             for target in error.refusing:
                 target.note_help_failed(self._loop.time())
@@ -204,16 +204,12 @@
         held.keep()
         return held
 
-    async def _connect(self, grant: Grant, job: Job, progress: Progress) -> EgressConnection:
-        began_s = self._loop.time()
-        try:
-            return await self._pool.take(
-                grant.host.record.address,
-                max_idle_s=None if job.route.is_idempotent else UNSAFE_MAX_IDLE_S,
-                timeout_s=CONNECT_TIMEOUT_S,
-            )
-        finally:
-            progress.connected_s += self._loop.time() - began_s
+    async def _connect(self, grant: Grant, job: Job) -> EgressConnection:
+        return await self._pool.take(
+            grant.host.record.address,
+            max_idle_s=None if job.route.is_idempotent else UNSAFE_MAX_IDLE_S,
+            timeout_s=CONNECT_TIMEOUT_S,
+        )
 
     async def _exchange(
         self,
@@ -240,7 +236,7 @@
                     route=job.route,
                     progress=progress,
                     responder=responder,
-                    on_first_event=lambda: self._note_first_event(grant, job, progress),
+                    on_first_event=lambda: self._note_first_event(connection, grant, job, progress),
                     is_alive=lambda: self._is_alive(grant.host),
                 )
                 return await relay.run(connection, head)
@@ -315,22 +311,26 @@
             )
         if head.status < FIRST_ERROR and not self._codec.has_signature(head):
             return AttemptOutcome(delivery=Delivery.LOST, reason="the answer is not signed")
-        self._note_answered(job, progress)
+        self._note_answered(connection, job, progress)
         await responder.answer(answer)
         return AttemptOutcome(delivery=Delivery.DONE, reason="", status=head.status)
 
     def _note_sent(self, job: Job, progress: Progress) -> None:
         if progress.sends == 1:
             taken_s = self._loop.time() - job.request.read_at_s
-            self._metrics.note_added(taken_s - progress.waited_s)
+            progress.added_s = taken_s - progress.waited_s
 
-    def _note_first_event(self, grant: Grant, job: Job, progress: Progress) -> None:
+    def _note_first_event(
+        self, connection: EgressConnection, grant: Grant, job: Job, progress: Progress
+    ) -> None:
         self._scheduler.begin(grant)
-        self._note_answered(job, progress)
+        self._note_answered(connection, job, progress)
 
-    def _note_answered(self, job: Job, progress: Progress) -> None:
+    def _note_answered(self, connection: EgressConnection, job: Job, progress: Progress) -> None:
         if progress.first_part_s is None:
             progress.first_part_s = self._loop.time()
+            back_s = progress.first_part_s - connection.received_s
+            self._metrics.note_added(progress.added_s + back_s)
             taken_s = progress.first_part_s - job.request.read_at_s
             self._metrics.note_first_event(job.fields.prompt_tokens, taken_s)
 
--- a/src/cicadatiller/gateway/_progress.py
+++ b/src/cicadatiller/gateway/_progress.py
@@ -14,7 +14,7 @@
         may_have_run: Whether one of them may have run it.
         tried: The targets that it must not go to again.
         waited_s: How long it waited for a place.
-        connected_s: How long dialling took.
+        added_s: What this entry added to the time until the first send, waits for a place left out.
         first_part_s: When the first part of the answer came, by the loop's time; None before.
     """
 
@@ -24,5 +24,5 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     waited_s: float = 0.0
-    connected_s: float = 0.0
+    added_s: float = 0.0
     first_part_s: float | None = None
