Expect streams with short gaps, price reading in short supply, let late prompts follow

Now each entry works out what is to come from the fleet's placements of the last 3 s (expected_demand), spreads the expected loss over the targets that will have to take the streams, prices reading above half of what targets can do, and serves those that can't be on time after those that can.

--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -12,14 +12,18 @@
 from ..placement import (
     CallCandidate,
     Candidate,
+    Demand,
     LoadBoard,
     Placing,
     Prompt,
     Work,
+    expected_demand,
     is_worth_it,
+    least_first_s,
     pass_s,
     place_call,
     place_prompt,
+    queue_turn,
     read_s,
     write_s,
 )
@@ -36,6 +40,7 @@
 OUTPUT_MARGIN = 1.3
 # For this share of the time that a prompt may wait, it waits for a place that harms others little.
 SETTLE_SHARE = 0.7
+DEMAND_MAX_AGE_S = 0.1
 ASSUMED_OUTPUT_SHARE = 0.5
 
 
@@ -80,17 +85,26 @@
 class _Waiter:
     job: Job
     prompt: Prompt | None
+    least_s: float
     excluded: frozenset[str]
     only: frozenset[str] | None
     settle_s: float
     give_up_s: float
     future: asyncio.Future[Grant]
 
-    def order(self) -> tuple[int, float]:
+    def order(self, now_s: float) -> tuple[int, bool, float]:
         priority = self.job.route.priority
         if self.job.workspace is not None and self.job.workspace.priority is not None:
             priority = self.job.workspace.priority
-        return priority, self.job.request.read_at_s + self.job.route.target_latency_s
+        due_s = self.job.request.read_at_s + self.job.route.target_latency_s
+        is_late, due_in_s = queue_turn(due_in_s=due_s - now_s, least_s=self.least_s)
+        return priority, is_late, due_in_s
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _DatedDemand:
+    demand: Demand
+    worked_out_s: float
 
 
 class Scheduler:
@@ -128,6 +142,7 @@
         self._ticket_risk = ticket_risk
         self._weights = weights or WorthWeights()
         self._waiters: list[_Waiter] = []
+        self._demands: dict[str, _DatedDemand] = {}
         self._counter = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._recheck: asyncio.Handle | None = None
@@ -153,9 +168,11 @@
         service = self._services(job.service)
         give_up_s = self._give_up_s(job, service)
         arrived_s = job.request.read_at_s
+        prompt = self._describe(job, service)
         waiter = _Waiter(
             job=job,
-            prompt=self._describe(job, service),
+            prompt=prompt,
+            least_s=_least_first_s(prompt, service),
             excluded=frozenset(excluded),
             only=only,
             settle_s=arrived_s + SETTLE_SHARE * (give_up_s - arrived_s),
@@ -212,7 +229,7 @@
     def _check_waiters(self) -> None:
         self._recheck = None
         now_s = self._loop.time()
-        for waiter in sorted(self._waiters, key=_Waiter.order):
+        for waiter in sorted(self._waiters, key=lambda waiter: waiter.order(now_s)):
             if waiter.future.done():
                 self._waiters.remove(waiter)
                 continue
@@ -298,10 +315,13 @@
             )
             for target in pool
         ]
-        placing = place_prompt(prompt, candidates, model, now_s, ticket_risk=self._ticket_risk())
+        demand = self._demand(waiter.job.service, model, now_s)
+        placing = place_prompt(
+            prompt, candidates, model, now_s, ticket_risk=self._ticket_risk(), demand=demand
+        )
         if placing is None:
             return None
-        if not is_worth_it(placing, prompt) and now_s < waiter.settle_s:
+        if not is_worth_it(placing, prompt, demand) and now_s < waiter.settle_s:
             return None
         by_id = {target.instance_id: target for target in pool}
         works = self._works(prompt, placing, model, now_s)
@@ -313,6 +333,18 @@
         )
         return self._grant(grant, works)
 
+    def _demand(self, service: str, model: EngineModel, now_s: float) -> Demand:
+        """Return what to expect of a service's callers; not worked out anew for every request."""
+        dated = self._demands.get(service)
+        if dated is None or now_s - dated.worked_out_s >= DEMAND_MAX_AGE_S:
+            pool = self._directory.targets_of(service)
+            loads = [self._board.load(target.instance_id) for target in pool]
+            waiting = [w.prompt for w in self._waiters if w.job.service == service and w.prompt]
+            demand = expected_demand(loads, waiting, model, now_s)
+            dated = _DatedDemand(demand=demand, worked_out_s=now_s)
+            self._demands[service] = dated
+        return dated.demand
+
     def _grant(self, grant: Grant, works: tuple[Work, ...]) -> Grant:
         grant.host.breaker.note_use(self._loop.time())
         self._board.add(works)
@@ -406,3 +438,9 @@
 
     def _new_work_id(self) -> str:
         return f"{self._owner}-{next(self._counter)}"
+
+
+def _least_first_s(prompt: Prompt | None, service: Service | None) -> float:
+    if prompt is None or service is None or service.engine is None:
+        return 0.0
+    return least_first_s(service.engine, prompt.tokens)
--- a/src/cicadatiller/placement/__init__.py
+++ b/src/cicadatiller/placement/__init__.py
@@ -2,23 +2,30 @@
 
 from ._board import LoadBoard, TargetLoad
 from ._calls import CallCandidate, place_call
+from ._demand import Demand, expected_demand
 from ._engine import pass_s, read_s, write_s
-from ._policy import Candidate, Placing, Prompt, TicketShare, is_worth_it, place_prompt
+from ._policy import Candidate, Placing, TicketShare, is_worth_it, place_prompt
+from ._prompt import Prompt
+from ._queue import least_first_s, queue_turn
 from ._work import Work
 
 __all__ = [
     "CallCandidate",
     "Candidate",
+    "Demand",
     "LoadBoard",
     "Placing",
     "Prompt",
     "TargetLoad",
     "TicketShare",
     "Work",
+    "expected_demand",
     "is_worth_it",
+    "least_first_s",
     "pass_s",
     "place_call",
     "place_prompt",
+    "queue_turn",
     "read_s",
     "write_s",
 ]
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -7,6 +7,7 @@
 
 MAX_PACE = 50.0
 CALL_GAIN = 0.25
+RECENT_S = 5.0
 
 
 class TargetLoad:
@@ -26,6 +27,7 @@
         self.pace = 1.0
         self.call_s = 0.0
         self.call_at_s = -math.inf
+        self._recent: dict[str, Work] = {}
 
     @property
     def in_flight(self) -> int:
@@ -69,8 +71,13 @@
         self.call_s += gain * (taken_s - self.call_s)
         self.call_at_s = now_s
 
+    def recent(self, since_s: float) -> list[Work]:
+        """Return what was placed since a time, work that is over included; at most `RECENT_S`."""
+        return [work for work in self._recent.values() if work.placed_s >= since_s]
+
     def add(self, work: Work) -> None:
         """Take one work."""
+        self._note_recent(work)
         begin_s = max(work.placed_s, self.read_free_s)
         work.read_ends_s = begin_s + work.read_s * self.pace
         if not work.has_begun:
@@ -91,6 +98,16 @@
         if work is not None and not work.has_begun:
             self._end_read(work, now_s)
 
+    def _note_recent(self, work: Work) -> None:
+        old = [
+            work_id
+            for work_id, other in self._recent.items()
+            if other.placed_s < work.placed_s - RECENT_S
+        ]
+        for work_id in old:
+            del self._recent[work_id]
+        self._recent[work.work_id] = work
+
     def _end_read(self, work: Work, now_s: float) -> None:
         saved_s = work.read_ends_s - max(now_s, work.read_ends_s - work.read_s * self.pace)
         if saved_s <= 0:
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -11,7 +11,9 @@
 
 from ..routes import EngineModel
 from ._board import TargetLoad
+from ._demand import SHORT_GAP_PASSES, Demand
 from ._engine import longest_read_in_pass_s, pass_s, read_s
+from ._prompt import Prompt
 
 MAX_HELPERS = 16
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
@@ -21,34 +23,17 @@
 LATE_UNTIL_RATIO = 1.1
 GAP_LATE_FROM_RATIO = 0.75
 GAP_LATE_UNTIL_RATIO = 1.05
-FINISH_WEIGHT = 0.15
+FINISH_WEIGHT = 0.25
 MEMBER_COST = 0.02
 OPENING_COST = 0.1
 TICKET_COST = 0.3
 FAR_COST = 0.005
-TIGHT_GAP_PASSES = 8.0
 KV_USABLE_SHARE = 0.95
+USABLE_SLOTS_SHARE = 0.75
 HARM_FOR_GAIN = 0.6
 HARM_FOR_LATE = 0.1
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Prompt:
-    """What is to be placed.
-
-    Attributes:
-        tokens: The prompt.
-        output_tokens: The output that is expected.
-        due_in_s: Until its first event is due; zero or less if it is late already.
-        max_gap_s: The longest pause between events that its caller wants.
-        worth: What is lost if it comes late.
-    """
-
-    tokens: int
-    output_tokens: int
-    due_in_s: float
-    max_gap_s: float
-    worth: float
+FREE_READ_LOAD = 0.5
+READ_PRICE = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,13 +102,17 @@
     return _ramp(pause_s / max_gap_s, GAP_LATE_FROM_RATIO, GAP_LATE_UNTIL_RATIO)
 
 
-def is_worth_it(placing: Placing, prompt: Prompt) -> bool:
+def is_worth_it(placing: Placing, prompt: Prompt, demand: Demand | None = None) -> bool:
     """Tell whether a prompt gains by starting now more than others lose.
 
-    One that is late anyway can wait for a moment in which it harms nobody.
+    One that is late anyway can wait for a moment in which it harms nobody. Where reading is in
+    short supply, one that needs much of it for what it is worth waits, too.
     """
     gain = prompt.worth - placing.own_loss
-    return placing.harm <= HARM_FOR_GAIN * gain + HARM_FOR_LATE * prompt.worth
+    load = 0.0 if demand is None else demand.read_load
+    work_s = placing.part_read_s * (1 + len(placing.helper_ids))
+    price = READ_PRICE * max(0.0, load - FREE_READ_LOAD) * work_s
+    return placing.harm + price <= HARM_FOR_GAIN * gain + HARM_FOR_LATE * prompt.worth
 
 
 def place_prompt(
@@ -133,6 +122,7 @@
     now_s: float,
     *,
     ticket_risk: float = 0.0,
+    demand: Demand | None = None,
 ) -> Placing | None:
     """Choose the targets of a prompt; None if none has room for it now.
 
@@ -142,8 +132,11 @@
         model: How fast they are.
         now_s: The time.
         ticket_risk: The chance that a reservation fails.
+        demand: The streams with short gaps that are expected; None if none are.
     """
     views = [_View(candidate, model, now_s) for candidate in candidates]
+    if demand is not None:
+        _expect(demand, views, model)
     total_s = read_s(model, prompt.tokens)
     best: Placing | None = None
     for size in _gang_sizes(prompt, len(views)):
@@ -176,6 +169,9 @@
         self.wait_s = load.read_wait_s(now_s)
         self.pass_s = load.pace * pass_s(model, len(self.writers), load.context_tokens)
         self.pause_s = self.pass_s + self._longest_in_pass(self.wait_s)
+        # What comes to this target in a second that a long read would make late, and its gap.
+        self.expected_worth_per_s = 0.0
+        self.expected_gap_s = math.inf
 
     def harm(self, part_s: float) -> float:
         """Return what others lose if this target reads a part of so long."""
@@ -194,6 +190,9 @@
             before = late_chance(needed_s, left_s)
             after = late_chance(needed_s + part_s, left_s)
             lost += work.worth * (after - before)
+        if self.expected_worth_per_s:
+            late = gap_late_chance(self.pass_s + more_s, self.expected_gap_s)
+            lost += self.expected_worth_per_s * part_s * late
         return lost
 
     def begins_in(self) -> float:
@@ -209,6 +208,22 @@
         )
 
 
+def _expect(demand: Demand, views: list[_View], model: EngineModel) -> None:
+    """Spread the streams that are expected over the targets that will have to take them."""
+    wanted = math.ceil(demand.per_s * demand.lasts_s / (USABLE_SLOTS_SHARE * model.slots))
+    if wanted <= 0 or not views:
+        return
+
+    def hosts(view: _View) -> tuple[bool, float]:
+        has_some = any(work.max_gap_s <= demand.max_gap_s for work in view.writers)
+        return not has_some, view.wait_s
+
+    takers = sorted(views, key=hosts)[:wanted]
+    for view in takers:
+        view.expected_worth_per_s = demand.worth * demand.per_s / len(takers)
+        view.expected_gap_s = demand.max_gap_s
+
+
 def _place_in_gang(
     prompt: Prompt,
     views: list[_View],
@@ -288,7 +303,7 @@
     A stream with short gaps on a target that has none yet keeps long reads away from one more.
     """
     cost = 0.0 if view.candidate.is_near else FAR_COST
-    is_tight = prompt.max_gap_s < TIGHT_GAP_PASSES * view.pass_s
+    is_tight = prompt.max_gap_s < SHORT_GAP_PASSES * view.pass_s
     if is_tight and not any(
         work.max_gap_s <= prompt.max_gap_s for work in view.load.works.values()
     ):
--- a/tests/support/engine_play.py
+++ b/tests/support/engine_play.py
@@ -16,11 +16,16 @@
     Placing,
     Prompt,
     Work,
+    expected_demand,
+    is_worth_it,
+    least_first_s,
     place_prompt,
+    queue_turn,
     read_s,
 )
 from cicadatiller.routes import EngineModel
 
+RECHECK_S = 0.02
 ENGINE = EngineModel(
     slots=8,
     kv_capacity_tokens=232_000,
@@ -118,19 +123,22 @@
         engines: How many there are.
         policy: Takes (prompt, candidates, model, now_s) and returns a `Placing` or None to wait.
         seed: Draws the load.
+        settle_share: For this share of its patience a prompt waits for a place that harms little.
     """
 
-    def __init__(self, *, engines, policy=place_prompt, seed=1, model=ENGINE):
+    def __init__(self, *, engines, policy=place_prompt, seed=1, model=ENGINE, settle_share=0.7):
         self.model = model
         self.policy = policy
         self.engines = {f"e{number}": PlayedEngine(f"e{number}") for number in range(engines)}
         self.board = LoadBoard()
         self.requests = []
         self.now_s = 0.0
+        self._settle_share = settle_share
         self._random = random.Random(seed)
         self._events = []
         self._order = itertools.count()
         self._waiting = []
+        self._recheck_set = False
         self._placings = {}
         self._by_work = {}
         self._parts_left = {}
@@ -168,25 +176,56 @@
         self._place_waiting()
 
     def _place_waiting(self):
-        for request in sorted(self._waiting, key=lambda r: r.arrived_s + r.kind.target_latency_s):
+        """Look at all that wait; later again, as what they wait for may be time alone."""
+        for request in [r for r in self._waiting if self.now_s > r.arrived_s + patience_s(r.kind)]:
+            request.refused = True
+            self._waiting.remove(request)
+        for request in sorted(self._waiting, key=self._turn):
             placing = self._choose(request)
             if placing is not None:
                 self._waiting.remove(request)
                 self._begin(request, placing)
+        if self._waiting and not self._recheck_set:
+            self._recheck_set = True
+            self._at(self.now_s + RECHECK_S, self._recheck)
 
-    def _choose(self, request):
+    def _turn(self, request):
+        due_s = request.arrived_s + request.kind.target_latency_s
+        least_s = least_first_s(self.model, request.tokens)
+        return queue_turn(due_in_s=due_s - self.now_s, least_s=least_s)
+
+    def _recheck(self):
+        self._recheck_set = False
+        self._place_waiting()
+
+    def _prompt(self, request):
         kind = request.kind
-        prompt = Prompt(
+        return Prompt(
             tokens=request.tokens,
             output_tokens=request.events * self.model.steps_per_pass,
             due_in_s=kind.target_latency_s - (self.now_s - request.arrived_s),
             max_gap_s=kind.max_gap_s,
             worth=0.75 * kind.worth,
         )
+
+    def _choose(self, request):
+        prompt = self._prompt(request)
         candidates = [
             Candidate(target_id=name, load=self.board.load(name)) for name in self.engines
         ]
-        return self.policy(prompt, candidates, self.model, self.now_s)
+        demand = self._demand()
+        options = {"demand": demand} if self.policy is place_prompt else {}
+        placing = self.policy(prompt, candidates, self.model, self.now_s, **options)
+        if placing is None or self.policy is not place_prompt:
+            return placing
+        settled = self.now_s - request.arrived_s >= self._settle_share * patience_s(request.kind)
+        return placing if settled or is_worth_it(placing, prompt, demand) else None
+
+    def _demand(self):
+        """Return what is to be expected."""
+        loads = [self.board.load(name) for name in self.engines]
+        waiting = [self._prompt(request) for request in self._waiting]
+        return expected_demand(loads, waiting, self.model, self.now_s)
 
     def _begin(self, request, placing):
         work_id = f"w{next(self._order)}"
@@ -292,6 +331,11 @@
             self._run_pass(host)
 
 
+def patience_s(kind):
+    """Return how long a caller waits for its first event."""
+    return max(2.0, 4 * kind.target_latency_s, 8 * kind.max_gap_s)
+
+
 def least_in_flight(prompt, candidates, model, now_s):
     """Place on the target with the fewest requests; the baseline of the tests."""
     free = [c for c in candidates if c.load.in_flight < model.slots]
@@ -313,6 +357,8 @@
 def share_on_time(requests, kind_name):
     """Return the share of a kind's requests that were on time."""
     of_kind = [request for request in requests if request.kind.name == kind_name]
+    if not of_kind:
+        return 1.0
     return sum(request.on_time for request in of_kind) / len(of_kind)
 
 
--- /dev/null
+++ b/tests/test_gateway_scheduler.py
@@ -0,0 +1,180 @@
+"""Which of the requests that wait for a target gets one first, and which are refused."""
+
+import asyncio
+
+from cicadatiller.fleet import TargetDirectory, TargetRecord, TargetState
+from cicadatiller.gateway._job import Job
+from cicadatiller.gateway._scheduler import Scheduler
+from cicadatiller.gateway._wire import RequestFields
+from cicadatiller.ingress import Request
+from cicadatiller.kernel import ErrorKind, FailureError
+from cicadatiller.placement import LoadBoard
+from cicadatiller.routes import Route, RouteKind, Service, Split
+
+from .support.engine_play import ENGINE
+from .support.paused_loop import PausedCase
+
+PROMPTS = "prompts"
+
+
+class Listener:
+    """Hears nothing."""
+
+    def work_added(self, works):
+        pass
+
+    def work_begun(self, work_id):
+        pass
+
+    def work_ended(self, work_id):
+        pass
+
+
+def a_scheduler(*, targets):
+    directory = TargetDirectory()
+    for number in range(targets):
+        directory.put(
+            TargetRecord(
+                instance_id=f"t{number}",
+                service=PROMPTS,
+                address=f"10.0.1.{number}:80",
+                data_centre="c0",
+                slots=ENGINE.slots,
+                state=TargetState.READY,
+            )
+        )
+    services = {PROMPTS: Service(name=PROMPTS, engine=ENGINE)}
+    return Scheduler(
+        owner="g0",
+        data_centre="c0",
+        directory=directory,
+        board=LoadBoard(),
+        services=services.get,
+        listener=Listener(),
+    )
+
+
+def a_job(request_id, *, tokens=4000, target_latency_s=0.3, age_s=0.0, limit_s=60.0, priority=1):
+    now_s = asyncio.get_running_loop().time()
+    request = Request(
+        method=b"POST",
+        target=b"/p/",
+        headers=(),
+        body=b"",
+        keep_alive=True,
+        read_at_s=now_s - age_s,
+    )
+    route = Route(
+        name="p",
+        host="p.example",
+        path_prefix="/p/",
+        kind=RouteKind.STREAM,
+        splits=(Split(service=PROMPTS),),
+        timeout_s=limit_s,
+        target_latency_s=target_latency_s,
+        max_gap_s=0.25,
+        priority=priority,
+    )
+    return Job(
+        request=request,
+        fields=RequestFields(
+            request_id=request_id,
+            host="p.example",
+            prompt_tokens=tokens,
+            max_output_tokens=1000,
+            output_estimate_tokens=700,
+        ),
+        route=route,
+        service=PROMPTS,
+        workspace=None,
+        caller_limit_s=now_s + limit_s,
+        limit_s=now_s + limit_s,
+    )
+
+
+class SchedulerCase(PausedCase):
+    async def fill(self, scheduler):
+        """Take all slots; returns the grants, of which all write."""
+        grants = []
+        for number in range(ENGINE.slots):
+            grant = await scheduler.acquire(a_job(f"f{number}", target_latency_s=30.0))
+            scheduler.begin(grant)
+            grants.append(grant)
+        return grants
+
+    async def served_in_order(self, scheduler, grants, jobs):
+        """Free slots one by one; returns the ids of the jobs as they get them."""
+        served = []
+
+        async def wait_for(job):
+            await scheduler.acquire(job)
+            served.append(job.request_id)
+
+        waiters = [asyncio.create_task(wait_for(job)) for job in jobs]
+        await asyncio.sleep(0.001)
+        for grant in grants[: len(jobs)]:
+            scheduler.release(grant)
+            await asyncio.sleep(0.05)
+        await asyncio.wait_for(asyncio.gather(*waiters), 10.0)
+        return served
+
+
+class OrderTest(SchedulerCase):
+    def order(self, *jobs):
+        async def scenario():
+            scheduler = a_scheduler(targets=1)
+            grants = await self.fill(scheduler)
+            made = [a_job(name, **changes) for name, changes in jobs]
+            return await self.served_in_order(scheduler, grants, made)
+
+        return self.run_paused(scenario())
+
+    def test_what_is_due_sooner_goes_first(self):
+        order = self.order(
+            ("later", {"target_latency_s": 5.0}), ("sooner", {"target_latency_s": 2.0})
+        )
+        self.assertEqual(order, ["sooner", "later"])
+
+    def test_what_will_be_late_anyway_follows_what_can_be_on_time(self):
+        order = self.order(
+            ("late", {"target_latency_s": 1.0, "age_s": 1.1}),
+            ("on-time", {"target_latency_s": 3.0}),
+        )
+        self.assertEqual(order, ["on-time", "late"])
+
+    def test_the_priority_goes_before_both(self):
+        order = self.order(
+            ("low", {"target_latency_s": 2.0, "priority": 1}),
+            ("high", {"target_latency_s": 5.0, "priority": 0}),
+        )
+        self.assertEqual(order, ["high", "low"])
+
+
+class RefusalTest(SchedulerCase):
+    def test_one_that_waited_in_vain_is_refused_long_before_its_limit(self):
+        async def scenario():
+            scheduler = a_scheduler(targets=1)
+            await self.fill(scheduler)
+            begin_s = asyncio.get_running_loop().time()
+            with self.assertRaises(FailureError) as caught:
+                await scheduler.acquire(a_job("r", target_latency_s=0.3, limit_s=60.0))
+            taken_s = asyncio.get_running_loop().time() - begin_s
+            return caught.exception.failure, taken_s, scheduler.waiting
+
+        failure, taken_s, waiting = self.run_paused(scenario())
+        self.assertIs(failure.kind, ErrorKind.OVERLOADED)
+        self.assertGreater(failure.retry_after_s, 0)
+        self.assertLess(taken_s, 3.0)
+        self.assertEqual(waiting, 0)
+
+    def test_without_targets_it_is_refused_at_once(self):
+        async def scenario():
+            scheduler = a_scheduler(targets=0)
+            begin_s = asyncio.get_running_loop().time()
+            with self.assertRaises(FailureError) as caught:
+                await scheduler.acquire(a_job("r"))
+            return caught.exception.failure.kind, asyncio.get_running_loop().time() - begin_s
+
+        kind, taken_s = self.run_paused(scenario())
+        self.assertIs(kind, ErrorKind.NO_TARGET)
+        self.assertEqual(taken_s, 0.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,11 +7,17 @@
 
 from cicadatiller.placement import (
     Candidate,
+    Demand,
     LoadBoard,
+    Placing,
     Prompt,
     TargetLoad,
     Work,
+    expected_demand,
+    is_worth_it,
+    least_first_s,
     place_prompt,
+    queue_turn,
     read_s,
 )
 
@@ -113,6 +119,115 @@
         self.assertTrue(all(request.ended_s for request in requests))
 
 
+class OverloadTest(unittest.TestCase):
+    """Too few engines for the load."""
+
+    def requests(self, seed, *, engines, phases, **options):
+        return LoadPlay(engines=engines, seed=seed, **options).run(phases)
+
+    def test_short_prompts_stay_fast_where_reading_is_short(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                requests = self.requests(
+                    seed, engines=10, phases=[(mostly_long(), 10.0), (mostly_short(), 10.0)]
+                )
+                self.assertGreater(share_on_time(requests, "short"), 0.8)
+                self.assertGreater(share_on_time(requests, "huge"), 0.8)
+
+    def test_where_slots_are_short_it_earns_no_less_than_least_in_flight(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                phases = [(mostly_short(), 15.0)]
+                requests = self.requests(seed, engines=9, phases=phases)
+                baseline = self.requests(seed, engines=9, phases=phases, policy=least_in_flight)
+                self.assertGreater(share_of_worth(requests), share_of_worth(baseline) - 0.03)
+                self.assertTrue(all(r.refused or r.ended_s for r in requests))
+
+
+class DemandTest(unittest.TestCase):
+    def load(self, *works):
+        load = TargetLoad()
+        for number, changes in enumerate(works):
+            fields = {"work_id": f"w{number}", "owner": "a", "target_id": "e0", "max_gap_s": 0.25}
+            load.add(Work(**(fields | changes)))
+        return load
+
+    def prompt(self, **changes):
+        fields = {"tokens": 4000, "output_tokens": 700, "due_in_s": 0.3, "max_gap_s": 0.25}
+        return Prompt(**(fields | {"worth": 1.0} | changes))
+
+    def test_only_what_came_lately_counts(self):
+        load = self.load({"placed_s": 5.0}, {"placed_s": 9.0, "worth": 2.0, "write_s": 1.5})
+        demand = expected_demand([load], [], ENGINE, 10.0)
+        self.assertAlmostEqual(demand.per_s, 1 / 3)
+        self.assertEqual((demand.lasts_s, demand.worth, demand.max_gap_s), (1.5, 2.0, 0.25))
+
+    def test_work_that_is_over_still_counts(self):
+        load = self.load({"placed_s": 9.0, "read_s": 0.3})
+        load.remove("w0", 9.5)
+        self.assertAlmostEqual(expected_demand([load], [], ENGINE, 10.0).read_load, 0.1)
+
+    def test_work_that_a_peer_tells_of_twice_counts_once(self):
+        load = self.load({"placed_s": 9.0, "read_s": 0.3})
+        load.add(Work(work_id="w0", owner="a", target_id="e0", placed_s=9.0, read_s=0.3))
+        self.assertAlmostEqual(expected_demand([load], [], ENGINE, 10.0).read_load, 0.1)
+
+    def test_streams_that_allow_long_gaps_need_no_place_kept(self):
+        load = self.load({"placed_s": 9.0, "max_gap_s": 1.0})
+        self.assertEqual(expected_demand([load], [], ENGINE, 10.0).per_s, 0.0)
+
+    def test_prompts_that_wait_count_too(self):
+        load = self.load({"placed_s": 9.0})
+        waiting = [self.prompt(), self.prompt(max_gap_s=1.0)]
+        demand = expected_demand([load, TargetLoad()], waiting, ENGINE, 10.0)
+        self.assertAlmostEqual(demand.per_s, 2 / 3)
+        self.assertAlmostEqual(demand.read_load, read_s(ENGINE, 4000) * 2 / 3 / 2)
+
+    def test_a_long_read_keeps_away_from_where_short_streams_are_expected(self):
+        demand = Demand(per_s=8.0, lasts_s=1.5, max_gap_s=0.25, worth=1.0)
+        candidates = [Candidate(target_id=f"e{n}", load=TargetLoad()) for n in range(4)]
+        candidates[0].load.add(
+            Work(work_id="s", owner="a", target_id="e0", max_gap_s=0.25, has_begun=True)
+        )
+        prompt = self.prompt(tokens=150_000, due_in_s=4.0, max_gap_s=1.0, worth=10.0)
+
+        def members(**options):
+            placing = place_prompt(prompt, candidates, ENGINE, 0.0, **options)
+            return {placing.host_id, *placing.helper_ids}
+
+        self.assertEqual(members() & {"e0", "e1"}, {"e1"})
+        # Two of the four will have to take the streams.
+        self.assertEqual(members(demand=demand), {"e2", "e3"})
+
+
+class QueueTest(unittest.TestCase):
+    def test_late_ones_follow_those_that_can_be_on_time(self):
+        turns = {
+            "soon": queue_turn(due_in_s=0.3, least_s=0.2),
+            "later": queue_turn(due_in_s=2.0, least_s=0.2),
+            "late": queue_turn(due_in_s=0.1, least_s=0.2),
+            "long past": queue_turn(due_in_s=-1.0, least_s=0.2),
+        }
+        self.assertEqual(sorted(turns, key=turns.get), ["soon", "later", "long past", "late"])
+
+    def test_long_prompts_need_more_but_not_in_proportion(self):
+        short_s, long_s = least_first_s(ENGINE, 4000), least_first_s(ENGINE, 400_000)
+        self.assertGreater(long_s, short_s)
+        self.assertLess(long_s, read_s(ENGINE, 400_000) / 4)
+
+    def test_where_reading_is_short_what_needs_much_of_it_waits(self):
+        prompt = Prompt(tokens=100_000, output_tokens=700, due_in_s=1, max_gap_s=1.0, worth=2.0)
+        placing = Placing(
+            host_id="e0",
+            helper_ids=("e1",),
+            part_read_s=0.4,
+        )
+        self.assertTrue(is_worth_it(placing, prompt, Demand(read_load=0.5)))
+        self.assertFalse(is_worth_it(placing, prompt, Demand(read_load=1.2)))
+        dear = replace(prompt, worth=10.0)
+        self.assertTrue(is_worth_it(placing, dear, Demand(read_load=1.2)))
+
+
 class ChoiceTest(unittest.TestCase):
     def candidates(self, count=8):
         return [Candidate(target_id=f"e{n}", load=TargetLoad()) for n in range(count)]
