Renew a poll only while it waits; a follower that pauses after a failure reads at once

The page just read was lost and the task began anew after a delay; the polls behind it were not renewed.

--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -92,24 +92,19 @@
         while True:
             await self._wait_until_due()
             try:
-                async with asyncio.timeout(None) as self._reading:
-                    await self._read_once()
-            except TimeoutError:
-                log_event(Event.POLL_RENEWED, topic=self._topic.value, offset=self.next_offset)
+                await self._read_until_renewed()
             except StoreUnavailableError as error:
                 self._note_failure(error)
-                await asyncio.sleep(self._retry_delay_s())
-            finally:
-                self._reading = None
+                await self._sleep(self._retry_delay_s())
 
     def read_soon(self) -> None:
         """Have the topic read now, as what is known may be old."""
         self._fresh_s = float("-inf")
-        self._wanted.set()
         self.renew_poll()
 
     def renew_poll(self) -> None:
         """Send a read that waits for records anew, as the store may have lost it in an outage."""
+        self._wanted.set()
         if self._reading is not None and not self._reading.expired():
             self._reading.reschedule(self._loop.time())
 
@@ -149,8 +144,17 @@
                 return
             await self._sleep(rest_s)
 
+    async def _read_until_renewed(self) -> None:
+        try:
+            async with asyncio.timeout(None) as self._reading:
+                await self._read_once()
+        except TimeoutError:
+            log_event(Event.POLL_RENEWED, topic=self._topic.value, offset=self.next_offset)
+        finally:
+            self._reading = None
+
     async def _sleep(self, delay_s: float) -> None:
-        """Sleep, but not beyond a call of `read_soon`."""
+        """Sleep, but not beyond a call of `read_soon` or `renew_poll`."""
         self._wanted.clear()
         try:
             async with asyncio.timeout(delay_s):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -251,6 +251,18 @@
         self.assertLess(graces["b"], RETURN_GRACE_S - 0.5)
         self.assertEqual(graces["c"], 0.0)
 
+    def test_after_a_failure_it_reads_at_once_when_told_that_the_store_is_back(self):
+        async def scenario(follower, log, sink, told):
+            log.fails = True
+            await asyncio.sleep(OUTAGE_S + 10)
+            log.fails = False
+            log.add("b")
+            follower.renew_poll()
+            await asyncio.sleep(0.01)
+            return [key for key, _, _ in sink.applied]
+
+        self.assertEqual(self.play(scenario), ["b"])
+
     def test_a_store_that_is_away_is_asked_at_a_bounded_rate(self):
         async def scenario(follower, log, sink, told):
             log.fails = True
