--- a/src/cicadatiller/egress/__init__.py
+++ b/src/cicadatiller/egress/__init__.py
@@ -8,6 +8,7 @@
     ResponseHead,
     open_connection,
 )
+from ._dial import DialTimer
 from ._pool import ConnectionPool, PoolLimits
 from ._request import render_request
 from ._silence import SilenceTiming, watch_for_silence
@@ -16,6 +17,7 @@
     "AnswerBrokenError",
     "ConnectionLostError",
     "ConnectionPool",
+    "DialTimer",
     "EgressConnection",
     "EgressError",
     "PoolLimits",
--- a/src/cicadatiller/egress/_pool.py
+++ b/src/cicadatiller/egress/_pool.py
@@ -4,7 +4,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from ._connection import EgressConnection, open_connection
+from ._connection import ConnectionLostError, EgressConnection, open_connection
+from ._dial import DialTimer
 from ._silence import SilenceTiming
 
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -36,11 +37,13 @@
     Attributes:
         opened: How many connections were opened.
         reused: How many exchanges went over a kept one.
+        dials: How long opening one may take, judged by how long it took.
     """
 
     def __init__(self, *, limits: PoolLimits | None = None) -> None:
         self._limits = limits or PoolLimits()
         self._idle: dict[str, list[EgressConnection]] = defaultdict(list)
+        self.dials = DialTimer()
         self.opened = 0
         self.reused = 0
 
@@ -61,12 +64,8 @@
         if connection is not None:
             self.reused += 1
             return connection
-        self.opened += 1
-        return await open_connection(
-            address,
-            timeout_s=self._limits.connect_timeout_s if timeout_s is None else timeout_s,
-            silence=self._limits.silence,
-        )
+        limit_s = self._limits.connect_timeout_s if timeout_s is None else timeout_s
+        return await self._open(address, limit_s)
 
     def give_back(self, connection: EgressConnection) -> None:
         """End the exchange on a connection and keep it if it may be used again."""
@@ -101,6 +100,21 @@
         for address in list(self._idle):
             self.drop(address)
 
+    async def _open(self, address: str, limit_s: float) -> EgressConnection:
+        self.opened += 1
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        try:
+            connection = await open_connection(
+                address, timeout_s=limit_s, silence=self._limits.silence
+            )
+        except ConnectionLostError as error:
+            if isinstance(error.__cause__, TimeoutError):
+                self.dials.note_timeout()
+            raise
+        self.dials.note_opened(loop.time() - began_s)
+        return connection
+
     def _take_idle(self, address: str, max_idle_s: float | None) -> EgressConnection | None:
         idle = self._idle.get(address)
         while idle:
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -27,7 +27,6 @@
 SERVER_ERRORS = 500
 MISDIRECTED = 421
 
-CONNECT_TIMEOUT_S = 0.5
 # A call that may be repeated goes elsewhere after so many times its wanted latency.
 CALL_LATENCIES = 2.5
 FIRST_EVENT_FACTOR = 3.0
@@ -208,7 +207,7 @@
         return await self._pool.take(
             grant.host.record.address,
             max_idle_s=None if job.route.is_idempotent else UNSAFE_MAX_IDLE_S,
-            timeout_s=CONNECT_TIMEOUT_S,
+            timeout_s=self._pool.dials.timeout_s,
         )
 
     async def _exchange(
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -1,11 +1,13 @@
 """Connections to targets and to the platform."""
 
 import asyncio
+import unittest
 
 from cicadatiller.egress import (
     AnswerBrokenError,
     ConnectionLostError,
     ConnectionPool,
+    DialTimer,
     EgressError,
     PoolLimits,
     SilenceTiming,
@@ -202,6 +204,27 @@
         self.assertEqual(size, 1_000_000)
 
 
+class DialTimerTest(unittest.TestCase):
+    def test_a_network_that_varies_is_waited_for_longer_than_a_steady_one(self):
+        steady, varying = DialTimer(), DialTimer()
+        for number in range(40):
+            steady.note_opened(0.05)
+            varying.note_opened(0.02 if number % 2 else 0.08)
+        self.assertLess(steady.timeout_s, varying.timeout_s)
+        self.assertGreater(steady.timeout_s, 0.05)
+
+    def test_a_network_that_became_slow_is_learned(self):
+        timer = DialTimer()
+        for _ in range(40):
+            timer.note_opened(0.002)
+        before_s = timer.timeout_s
+        while timer.timeout_s < 0.4:
+            timer.note_timeout()
+        timer.note_opened(0.4)
+        self.assertLess(before_s, 0.2)
+        self.assertGreater(timer.timeout_s, 0.4)
+
+
 class PoolTest(EgressCase):
     def test_connections_are_used_again_until_idle_for_too_long(self):
         async def scenario():
@@ -241,6 +264,21 @@
 
         self.assertFalse(self.run_paused(scenario()))
 
+    def test_where_connections_open_fast_a_dial_that_hangs_is_left_early(self):
+        async def scenario():
+            pool = ConnectionPool()
+            await self.connect(*[say(WHOLE)])
+            for _ in range(20):
+                await pool.take(ADDRESS)
+            loop = asyncio.get_running_loop()
+            loop.network.dark.add(ADDRESS)
+            began_s = loop.time()
+            with self.assertRaises(ConnectionLostError):
+                await pool.take(ADDRESS, timeout_s=pool.dials.timeout_s)
+            return loop.time() - began_s
+
+        self.assertLess(self.run_paused(scenario()), 0.2)
+
     def test_a_server_that_does_not_answer_a_dial_is_left(self):
         async def scenario():
             loop = asyncio.get_running_loop()
