--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -342,6 +342,8 @@
             prompt_tokens=job.fields.prompt_tokens,
             target=grant.host.instance_id,
             target_in_flight=grant.host_in_flight,
+            target_pace=round(grant.host_pace, 2),
+            target_wait_s=round(grant.host_wait_s, 3),
             helpers=len(grant.helpers),
             tickets=0 if placing is None else len(placing.shares),
             expected_s=None if placing is None else round(placing.first_in_s, 3),
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -67,6 +67,8 @@
         helpers: Targets that read parts of the prompt.
         placing: How it was placed; None for a plain service.
         host_in_flight: How many requests the host had, this one included.
+        host_pace: How much slower the host was than its model says, as last known.
+        host_wait_s: How long the host still had to read for others, as far as was known.
     """
 
     work_id: str
@@ -74,6 +76,8 @@
     helpers: tuple[Target, ...] = ()
     placing: Placing | None = None
     host_in_flight: int = 0
+    host_pace: float = 1.0
+    host_wait_s: float = 0.0
 
     @property
     def target_ids(self) -> tuple[str, ...]:
@@ -346,11 +350,15 @@
         return dated.demand
 
     def _grant(self, grant: Grant, works: tuple[Work, ...]) -> Grant:
-        grant.host.breaker.note_use(self._loop.time())
+        now_s = self._loop.time()
+        load = self._board.load(grant.host.instance_id)
+        wait_s = load.read_wait_s(now_s)
+        grant.host.breaker.note_use(now_s)
         self._board.add(works)
         self._listener.work_added(works)
-        in_flight = self._board.load(grant.host.instance_id).in_flight
-        return replace(grant, host_in_flight=in_flight)
+        return replace(
+            grant, host_in_flight=load.in_flight, host_pace=load.pace, host_wait_s=wait_s
+        )
 
     def _works(
         self, prompt: Prompt, placing: Placing, model: EngineModel, now_s: float
