--- a/src/cicadatiller/kernel/_log_output.py
+++ b/src/cicadatiller/kernel/_log_output.py
@@ -15,7 +15,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Budget:
-    """How many lines of one event were written within the present window."""
+    """How many lines of one sort were written within the present window."""
 
     window: int = 0
     lines: int = 0
@@ -25,8 +25,9 @@
 class LogOutput:
     """Takes eliot's messages and writes them as JSON lines to a file descriptor.
 
-    Lines of one event beyond `MAX_LINES_PER_EVENT` within a second are left out; the next one that
-    is written says how many in `left_out`. If the reader does not read, lines are dropped beyond
+    Lines of one event, and of one kind of error, beyond `MAX_LINES_PER_EVENT` within a second are
+    left out; the next one that is written says how many in `left_out`. So a flood of refusals for
+    one reason does not hide those for another. If the reader does not read, lines are dropped beyond
     `MAX_WAITING_BYTES`; the first line after that says how many in `dropped`.
 
     Args:
@@ -47,7 +48,7 @@
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
         self._unsaid_drops = 0
-        self._budgets: dict[int, _Budget] = {}
+        self._budgets: dict[tuple[int, str], _Budget] = {}
         self._is_watched = False
 
     def __call__(self, message: dict[str, Any]) -> None:
@@ -68,10 +69,10 @@
         self._write()
 
     def _admit(self, message: dict[str, Any]) -> bool:
-        number = message.get("number", 0)
-        budget = self._budgets.get(number)
+        sort = (message.get("number", 0), str(message.get("kind", "")))
+        budget = self._budgets.get(sort)
         if budget is None:
-            budget = self._budgets[number] = _Budget()
+            budget = self._budgets[sort] = _Budget()
         window = int(message.get("timestamp", 0.0) / WINDOW_S)
         if window != budget.window:
             budget.window = window
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -45,6 +45,12 @@
         self.assertEqual(lines[-1]["left_out"], 25)
         self.assertEqual(self.output.left_out, 25)
 
+    def test_a_flood_for_one_reason_does_not_hide_another(self):
+        for _ in range(MAX_LINES_PER_EVENT + 25):
+            self.say(number=202, kind="UNAUTHENTICATED")
+        self.say(number=202, kind="OVERLOADED")
+        self.assertEqual(self.lines()[-1]["kind"], "OVERLOADED")
+
     def test_a_reader_that_stops_costs_lines_and_no_time(self):
         async def scenario():
             text = "x" * 1000
