--- a/bench/layout.py
+++ b/bench/layout.py
@@ -13,6 +13,7 @@
 MODEL = "glacier"
 VERSION = "v1"
 SERVICE = "dispatch"
+PACKAGES = {"entry": "rpc", "sidecar": "sidecar"}
 WIDE_LIMITS = {
     "requests_per_s": 100_000.0,
     "prompt_tokens_per_s": 1e9,
@@ -173,7 +174,7 @@
 def _product(
     layout: Layout, name: str, kind: str, number: int, settings: dict[str, object]
 ) -> Program:
-    program = f"from cicadatiller.{kind} import main; main()"
+    program = f"from cicadatiller.{PACKAGES[kind]} import main; main()"
     if layout.preload:
         program = f"import {layout.preload}; {program}"
     options = layout.entry_options if kind == "entry" else layout.sidecar_options
--- a/src/cicadatiller/entry/__init__.py
+++ b/src/cicadatiller/entry/__init__.py
@@ -1,7 +1,6 @@
 """The entry: admits, routes and relays requests, and publishes configuration."""
 
 from ._admin import AdminService, Preview
-from ._main import main
 from ._metrics import EntryMetrics, LatencyFigures
 from ._process import Entry, EntryOptions
 from ._requests import AnswerDone, AnswerEvent, AnswerTokens, Emit, RequestOpened, WorkRequest
@@ -27,6 +26,5 @@
     "RouteQuery",
     "RoutingPolicy",
     "WorkRequest",
-    "main",
     "routing_registry",
 ]
--- a/src/cicadatiller/rpc/__init__.py
+++ b/src/cicadatiller/rpc/__init__.py
@@ -1,5 +1,6 @@
 """The RPC of callers and operators."""
 
 from ._http import RpcServer
+from ._main import main
 
-__all__ = ["RpcServer"]
+__all__ = ["RpcServer", "main"]
--- a/src/cicadatiller/entry/_main.py
+++ b/src/cicadatiller/rpc/_main.py
@@ -3,23 +3,16 @@
 import asyncio
 import sys
 import threading
-from typing import TYPE_CHECKING
 
 from ..backing import instance_list_registry, log_registry
+from ..entry import Entry, EntryOptions, EntrySettings
 from ..kernel import Event, LoopBridge, log_event, run_from_command_line
 from ..peer import open_transport
-from ._process import Entry, EntryOptions
-from ._settings import EntrySettings
-
-if TYPE_CHECKING:
-    from ..rpc import RpcServer
+from ._http import RpcServer
 
 
 async def serve(settings: EntrySettings, stopping: asyncio.Event) -> None:
     """Run one entry until the event is set, then shut down gracefully."""
-    # The RPC is built on this package, so it can't be imported before this package is.
-    from ..rpc import RpcServer
-
     log = settings.log.open(log_registry)
     instances = settings.instances.open(instance_list_registry)
     entry = Entry(
@@ -46,7 +39,7 @@
         await instances.close()
 
 
-async def _stop_gracefully(settings: EntrySettings, server: "RpcServer", entry: Entry) -> None:
+async def _stop_gracefully(settings: EntrySettings, server: RpcServer, entry: Entry) -> None:
     log_event(Event.PROCESS_STOPPING, name=settings.name)
     server.healthy = False
     entry.service.stopping = True
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -146,7 +146,7 @@
 
 class BadSettingsTest(unittest.TestCase):
     COMMANDS = {
-        "entry": ("-c", "from cicadatiller.entry import main; main()"),
+        "entry": ("-c", "from cicadatiller.rpc import main; main()"),
         "sidecar": ("-c", "from cicadatiller.sidecar import main; main()"),
         "engine": ("-m", "cicadatiller.standins", "engine"),
     }
