Refuse at once what can't be served in time under overload

Now one that can't begin before its caller leaves is refused, one that harms others more than it is worth too, and in a lasting backlog one that can't be on time.

--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -3,22 +3,25 @@
 import asyncio
 import itertools
 import statistics
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
 from ..fleet import Target, TargetDirectory, eject_failing, eject_slow, usable_targets
-from ..kernel import ErrorKind, fail
+from ..kernel import ErrorKind, FailureError, fail
 from ..placement import (
+    Backlog,
     CallCandidate,
     Candidate,
     Demand,
     LoadBoard,
     Placing,
     Prompt,
+    Verdict,
     Work,
     expected_demand,
-    is_worth_it,
+    judge,
     least_first_s,
     pass_s,
     place_call,
@@ -94,6 +97,7 @@
     only: frozenset[str] | None
     settle_s: float
     give_up_s: float
+    leaves_s: float
     future: asyncio.Future[Grant]
 
     def order(self, now_s: float) -> tuple[int, bool, float]:
@@ -146,6 +150,7 @@
         self._ticket_risk = ticket_risk
         self._weights = weights or WorthWeights()
         self._waiters: list[_Waiter] = []
+        self._backlogs: dict[str, Backlog] = {}
         self._demands: dict[str, _DatedDemand] = {}
         self._counter = itertools.count(1)
         self._loop = asyncio.get_running_loop()
@@ -170,7 +175,8 @@
             FailureError: If it can't be served in time; it was not sent then.
         """
         service = self._services(job.service)
-        give_up_s = self._give_up_s(job, service)
+        leaves_s = _caller_leaves_s(job)
+        give_up_s = leaves_s - _least_work_s(job, service)
         arrived_s = job.request.read_at_s
         prompt = self._describe(job, service)
         waiter = _Waiter(
@@ -181,9 +187,10 @@
             only=only,
             settle_s=arrived_s + SETTLE_SHARE * (give_up_s - arrived_s),
             give_up_s=give_up_s,
+            leaves_s=leaves_s,
             future=self._loop.create_future(),
         )
-        grant = self._try(waiter)
+        grant = self._try(waiter, self._ahead_of(waiter))
         if grant is not None:
             return grant
         self._waiters.append(waiter)
@@ -212,8 +219,9 @@
     def release(self, grant: Grant) -> None:
         """Note that a request is over at its targets."""
         self._board.remove(grant.work_id, grant.target_ids, self._loop.time())
-        self._listener.work_ended(grant.work_id)
+        # Peers hear of the place that is free together with who takes it here, if anyone does.
         self.wake()
+        self._listener.work_ended(grant.work_id)
 
     def wake(self) -> None:
         """Have waiting requests looked at, as something has changed."""
@@ -233,33 +241,64 @@
     def _check_waiters(self) -> None:
         self._recheck = None
         now_s = self._loop.time()
+        ahead: Counter[str] = Counter()
         for waiter in sorted(self._waiters, key=lambda waiter: waiter.order(now_s)):
+            service = waiter.job.service
+            if not waiter.future.done():
+                self._check(waiter, ahead[service], now_s)
             if waiter.future.done():
                 self._waiters.remove(waiter)
-                continue
-            try:
-                grant = self._try(waiter)
-            except Exception as error:
-                waiter.future.set_exception(error)
-                self._waiters.remove(waiter)
-                continue
-            if grant is not None:
-                waiter.future.set_result(grant)
-                self._waiters.remove(waiter)
-            elif now_s >= waiter.give_up_s:
-                waiter.future.set_exception(
-                    fail(
-                        ErrorKind.OVERLOADED,
-                        f"no target of {waiter.job.service} had room in time",
-                        retry_after_s=self._retry_after_s(waiter.job, now_s),
-                    )
-                )
-                self._waiters.remove(waiter)
+            else:
+                ahead[service] += 1
         if self._waiters:
             self._schedule_recheck(RECHECK_S)
 
-    def _try(self, waiter: _Waiter) -> Grant | None:
+    def _check(self, waiter: _Waiter, ahead: int, now_s: float) -> None:
+        try:
+            grant = self._try(waiter, ahead)
+        except Exception as error:
+            waiter.future.set_exception(error)
+            return
+        if grant is not None:
+            self._backlog(waiter).note_grant(now_s)
+            waiter.future.set_result(grant)
+        elif now_s >= waiter.give_up_s:
+            waiter.future.set_exception(self._refusal(waiter))
+
+    def _ahead_of(self, waiter: _Waiter) -> int:
+        now_s = self._loop.time()
+        turn = waiter.order(now_s)
+        service = waiter.job.service
+        return sum(w.job.service == service and w.order(now_s) < turn for w in self._waiters)
+
+    def _backlog(self, waiter: _Waiter) -> Backlog:
+        return self._backlogs.setdefault(waiter.job.service, Backlog())
+
+    def _try(self, waiter: _Waiter, ahead: int) -> Grant | None:
+        """Return targets for a request, or None if it is to wait.
+
+        Raises:
+            FailureError: If it can't be served.
+        """
         now_s = self._loop.time()
+        pool = self._pool_for(waiter, now_s)
+        service = self._services(waiter.job.service)
+        if service is None or service.engine is None or waiter.prompt is None:
+            if waiter.only is not None:
+                pool = [target for target in pool if target.instance_id in waiter.only]
+            grant = self._place_call(pool, now_s)
+        elif not self._has_slot(pool, service.engine):
+            grant = None
+        else:
+            placing = self._choose(waiter, service.engine, pool, now_s)
+            if placing is not None:
+                return self._settle(waiter, placing, service.engine, pool, now_s)
+            grant = None
+        if grant is None and waiter.only is None:
+            self._wait_for_room(waiter, ahead, now_s)
+        return grant
+
+    def _pool_for(self, waiter: _Waiter, now_s: float) -> list[Target]:
         job = waiter.job
         pool = self._directory.targets_of(job.service)
         if not pool:
@@ -276,12 +315,27 @@
             untried = [target for target in pool if target.instance_id not in waiter.excluded]
         if not untried:
             raise fail(ErrorKind.NO_TARGET, f"all targets of {job.service} were tried")
-        service = self._services(job.service)
-        if service is None or service.engine is None or waiter.prompt is None:
-            if waiter.only is not None:
-                untried = [target for target in untried if target.instance_id in waiter.only]
-            return self._place_call(untried, now_s)
-        return self._place_prompt(waiter, service.engine, untried, now_s)
+        return untried
+
+    def _has_slot(self, pool: list[Target], model: EngineModel) -> bool:
+        return any(self._board.load(t.instance_id).in_flight < model.slots for t in pool)
+
+    def _wait_for_room(self, waiter: _Waiter, ahead: int, now_s: float) -> None:
+        """Have a request wait, or refuse it if others will have taken all room until it is due."""
+        backlog = self._backlog(waiter)
+        backlog.note_waiting(now_s)
+        due_s = waiter.job.request.read_at_s + waiter.job.route.target_latency_s
+        if backlog.waits_in_vain(
+            now_s, due_in_s=due_s - now_s, least_s=waiter.least_s, ahead=ahead
+        ):
+            raise self._refusal(waiter)
+
+    def _refusal(self, waiter: _Waiter) -> FailureError:
+        return fail(
+            ErrorKind.OVERLOADED,
+            f"no target of {waiter.job.service} would have room in time",
+            retry_after_s=self._retry_after_s(waiter.job, self._loop.time()),
+        )
 
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
         candidates = [
@@ -305,9 +359,9 @@
         )
         return self._grant(Grant(work_id=work.work_id, host=host), (work,))
 
-    def _place_prompt(
+    def _choose(
         self, waiter: _Waiter, model: EngineModel, pool: list[Target], now_s: float
-    ) -> Grant | None:
+    ) -> Placing | None:
         prompt = self._with_time_left(waiter, now_s)
         candidates = [
             Candidate(
@@ -319,13 +373,29 @@
             )
             for target in pool
         ]
-        demand = self._demand(waiter.job.service, model, now_s)
-        placing = place_prompt(
-            prompt, candidates, model, now_s, ticket_risk=self._ticket_risk(), demand=demand
+        return place_prompt(
+            prompt,
+            candidates,
+            model,
+            now_s,
+            ticket_risk=self._ticket_risk(),
+            demand=self._demand(waiter.job.service, model, now_s),
         )
-        if placing is None:
-            return None
-        if not is_worth_it(placing, prompt, demand) and now_s < waiter.settle_s:
+
+    def _settle(
+        self,
+        waiter: _Waiter,
+        placing: Placing,
+        model: EngineModel,
+        pool: list[Target],
+        now_s: float,
+    ) -> Grant | None:
+        prompt = self._with_time_left(waiter, now_s)
+        demand = self._demand(waiter.job.service, model, now_s)
+        verdict = judge(placing, prompt, demand, is_settled=now_s >= waiter.settle_s)
+        if verdict is Verdict.REFUSE:
+            raise self._refusal(waiter)
+        if verdict is Verdict.WAIT:
             return None
         by_id = {target.instance_id: target for target in pool}
         works = self._works(prompt, placing, model, now_s)
@@ -422,21 +492,9 @@
             due_in_s=prompt.due_in_s - passed_s,
             max_gap_s=prompt.max_gap_s,
             worth=prompt.worth,
+            ends_in_s=waiter.leaves_s - now_s,
         )
 
-    def _give_up_s(self, job: Job, service: Service | None) -> float:
-        route = job.route
-        patience_s = max(
-            PATIENCE_MIN_S,
-            PATIENCE_LATENCIES * route.target_latency_s,
-            PATIENCE_GAPS * (route.max_gap_s or 0.0),
-        )
-        needed_s = route.target_latency_s / 2
-        if service is not None and service.engine is not None:
-            model = service.engine
-            needed_s = read_s(model, job.fields.prompt_tokens) / 4 + pass_s(model, 1, 0)
-        return min(job.limit_s, job.request.read_at_s + patience_s) - needed_s
-
     def _retry_after_s(self, job: Job, now_s: float) -> float:
         """Return when room is to be expected: when half of the targets have read what they have."""
         pool = self._directory.targets_of(job.service)
@@ -452,3 +510,22 @@
     if prompt is None or service is None or service.engine is None:
         return 0.0
     return least_first_s(service.engine, prompt.tokens)
+
+
+def _caller_leaves_s(job: Job) -> float:
+    """Return when the caller stops waiting for the first part of an answer."""
+    route = job.route
+    patience_s = max(
+        PATIENCE_MIN_S,
+        PATIENCE_LATENCIES * route.target_latency_s,
+        PATIENCE_GAPS * (route.max_gap_s or 0.0),
+    )
+    return min(job.limit_s, job.request.read_at_s + patience_s)
+
+
+def _least_work_s(job: Job, service: Service | None) -> float:
+    """Return the least time in which a request that was placed is answered."""
+    if service is None or service.engine is None:
+        return job.route.target_latency_s / 2
+    model = service.engine
+    return read_s(model, job.fields.prompt_tokens) / 4 + pass_s(model, 1, 0)
--- a/src/cicadatiller/placement/__init__.py
+++ b/src/cicadatiller/placement/__init__.py
@@ -4,12 +4,13 @@
 from ._calls import CallCandidate, place_call
 from ._demand import Demand, expected_demand
 from ._engine import pass_s, read_s, write_s
-from ._policy import Candidate, Placing, TicketShare, is_worth_it, place_prompt
+from ._policy import Candidate, Placing, TicketShare, Verdict, judge, place_prompt
 from ._prompt import Prompt
-from ._queue import least_first_s, queue_turn
+from ._queue import Backlog, least_first_s, queue_turn
 from ._work import Work
 
 __all__ = [
+    "Backlog",
     "CallCandidate",
     "Candidate",
     "Demand",
@@ -18,9 +19,10 @@
     "Prompt",
     "TargetLoad",
     "TicketShare",
+    "Verdict",
     "Work",
     "expected_demand",
-    "is_worth_it",
+    "judge",
     "least_first_s",
     "pass_s",
     "place_call",
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -5,6 +5,7 @@
 and the chance that it makes others late.
 """
 
+import enum
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -32,7 +33,11 @@
 USABLE_SLOTS_SHARE = 0.75
 HARM_FOR_GAIN = 0.6
 HARM_FOR_LATE = 0.1
+# What an answer is worth that comes late, as a share of what is lost by coming late.
+LATE_WORTH = 0.33
+STAY_SHARE = 0.9
 FREE_READ_LOAD = 0.5
+FULL_READ_LOAD = 1.0
 READ_PRICE = 3.0
 
 
@@ -90,6 +95,14 @@
     cost: float = 0.0
 
 
+class Verdict(enum.Enum):
+    """What becomes of a prompt."""
+
+    PLACE = "place"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
 def late_chance(needed_s: float, allowed_s: float) -> float:
     """Return the chance that something comes late."""
     if allowed_s <= 0:
@@ -102,17 +115,32 @@
     return _ramp(pause_s / max_gap_s, GAP_LATE_FROM_RATIO, GAP_LATE_UNTIL_RATIO)
 
 
-def is_worth_it(placing: Placing, prompt: Prompt, demand: Demand | None = None) -> bool:
-    """Tell whether a prompt gains by starting now more than others lose.
+def judge(placing: Placing, prompt: Prompt, demand: Demand, *, is_settled: bool = False) -> Verdict:
+    """Tell whether a prompt starts now, waits for a better moment, or is not served at all.
 
-    One that is late anyway can wait for a moment in which it harms nobody. Where reading is in
-    short supply, one that needs much of it for what it is worth waits, too.
+    It starts if it gains more than others lose. One that is late anyway can wait for a moment in
+    which it harms nobody. Where reading is in short supply, one that needs much of it for what it
+    is worth waits, too. One that would begin only after its caller has left is refused.
+
+    Args:
+        placing: The best choice.
+        prompt: The prompt.
+        demand: What is expected to come.
+        is_settled: Whether it has waited for so long that it starts now or not at all.
     """
+    if placing.first_in_s >= STAY_SHARE * prompt.ends_in_s:
+        return Verdict.REFUSE
     gain = prompt.worth - placing.own_loss
-    load = 0.0 if demand is None else demand.read_load
     work_s = placing.part_read_s * (1 + len(placing.helper_ids))
-    price = READ_PRICE * max(0.0, load - FREE_READ_LOAD) * work_s
-    return placing.harm + price <= HARM_FOR_GAIN * gain + HARM_FOR_LATE * prompt.worth
+    price = READ_PRICE * max(0.0, demand.read_load - FREE_READ_LOAD) * work_s
+    loss = placing.harm + price
+    if loss <= HARM_FOR_GAIN * gain + HARM_FOR_LATE * prompt.worth:
+        return Verdict.PLACE
+    # What is late already gains nothing by waiting while more comes than can be read.
+    waits_in_vain = prompt.due_in_s <= 0 and demand.read_load > FULL_READ_LOAD
+    if not is_settled and not waits_in_vain:
+        return Verdict.WAIT
+    return Verdict.PLACE if loss <= gain + LATE_WORTH * prompt.worth else Verdict.REFUSE
 
 
 def place_prompt(
@@ -250,6 +278,7 @@
     harm = sum(view.harm(part_s) for view in members)
     own_loss = prompt.worth * late_chance(first_s, prompt.due_in_s)
     own_loss += prompt.worth * gap_late_chance(host.pause_s, prompt.max_gap_s)
+    unserved = LATE_WORTH * prompt.worth * late_chance(first_s, prompt.ends_in_s)
     unhandy = prompt.worth * FINISH_WEIGHT * first_s / _scale(prompt)
     unhandy += MEMBER_COST * (size - 1) + _opening_cost(host, prompt)
     unhandy += len(shares) * (TICKET_COST + ticket_risk * prompt.worth)
@@ -262,7 +291,7 @@
         first_in_s=first_s,
         own_loss=min(prompt.worth, own_loss),
         harm=harm,
-        cost=harm + own_loss + unhandy,
+        cost=harm + own_loss + unserved + unhandy,
     )
 
 
--- a/src/cicadatiller/placement/_prompt.py
+++ b/src/cicadatiller/placement/_prompt.py
@@ -1,5 +1,6 @@
 """A prompt that is to be placed."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -13,6 +14,7 @@
         due_in_s: Until its first event is due; zero or less if it is late already.
         max_gap_s: The longest pause between events that its caller wants.
         worth: What is lost if it comes late.
+        ends_in_s: Until its caller stops waiting for the first event.
     """
 
     tokens: int
@@ -20,3 +22,4 @@
     due_in_s: float
     max_gap_s: float
     worth: float
+    ends_in_s: float = math.inf
--- a/src/cicadatiller/placement/_queue.py
+++ b/src/cicadatiller/placement/_queue.py
@@ -1,11 +1,16 @@
 """The order in which requests that wait are looked at."""
 
+import math
+
 from ..routes import EngineModel
 from ._engine import pass_s, read_s
 
 LEAST_PASSES = 3.5
 LEAST_PART_TOKENS = 8192
 MOST_PARTS = 8
+LASTING_S = 0.4
+REST_S = 0.3
+INTERVAL_GAIN = 0.1
 
 
 def least_first_s(model: EngineModel, tokens: int) -> float:
@@ -26,3 +31,53 @@
         least_s: The least time that it takes once it has a place.
     """
     return due_in_s < least_s, due_in_s
+
+
+class Backlog:
+    """The requests of a service that wait for room, as one entry sees them.
+
+    A burst that is over soon is best waited out. While more come than can be served, what can't be
+    on time any more would wait in vain.
+    """
+
+    def __init__(self) -> None:
+        self._since_s: float | None = None
+        self._seen_s = -math.inf
+        self._granted_s = -math.inf
+        self._interval_s = 0.0
+
+    def note_waiting(self, now_s: float) -> None:
+        """Note that a request found no room."""
+        if self._since_s is None or now_s - self._seen_s > REST_S:
+            self._since_s = now_s
+            self._granted_s = now_s
+        self._seen_s = now_s
+
+    def note_grant(self, now_s: float) -> None:
+        """Note that a request that had waited found room."""
+        taken_s = now_s - self._granted_s
+        self._interval_s += INTERVAL_GAIN * (taken_s - self._interval_s)
+        self._granted_s = now_s
+
+    def is_lasting(self, now_s: float) -> bool:
+        """Tell whether requests have been waiting for so long that it is no burst."""
+        if self._since_s is None or now_s - self._seen_s > REST_S:
+            return False
+        return now_s - self._since_s >= LASTING_S
+
+    def waits_in_vain(self, now_s: float, *, due_in_s: float, least_s: float, ahead: int) -> bool:
+        """Tell whether a request should be refused instead of waiting.
+
+        Args:
+            now_s: The time.
+            due_in_s: Until it is due.
+            least_s: The least time that it takes once it has a place.
+            ahead: How many have their turn before it.
+        """
+        if not self.is_lasting(now_s):
+            return False
+        return due_in_s - least_s < (ahead + 1) * self._interval_s
+
+    def room_in_s(self, ahead: int) -> float:
+        """Return when there should be room for a request that has some before it."""
+        return (ahead + 1) * self._interval_s
--- a/tests/support/engine_play.py
+++ b/tests/support/engine_play.py
@@ -11,13 +11,15 @@
 from dataclasses import dataclass, field
 
 from cicadatiller.placement import (
+    Backlog,
     Candidate,
     LoadBoard,
     Placing,
     Prompt,
+    Verdict,
     Work,
     expected_demand,
-    is_worth_it,
+    judge,
     least_first_s,
     place_prompt,
     queue_turn,
@@ -79,6 +81,8 @@
     longest_gap_s: float = 0.0
     ended_s: float | None = None
     refused: bool = False
+    left: bool = False
+    waited_s: float = 0.0
 
     @property
     def on_time(self):
@@ -139,6 +143,7 @@
         self._order = itertools.count()
         self._waiting = []
         self._recheck_set = False
+        self._backlog = Backlog()
         self._placings = {}
         self._by_work = {}
         self._parts_left = {}
@@ -173,18 +178,43 @@
 
     def _arrive(self, request):
         self._waiting.append(request)
+        self._at(request.arrived_s + patience_s(request.kind), lambda: self._leave(request))
         self._place_waiting()
 
+    def _leave(self, request):
+        """A caller that has seen no event goes away."""
+        if request.first_s is not None or request.refused or request.ended_s is not None:
+            return
+        request.left = True
+        if request in self._waiting:
+            self._waiting.remove(request)
+            return
+        work_id = next(key for key, other in self._by_work.items() if other is request)
+        placing = self._placings.pop(work_id)
+        members = (placing.host_id, *placing.helper_ids)
+        self.board.remove(work_id, members, self.now_s)
+        for name in members:
+            engine = self.engines[name]
+            engine.reads = [read for read in engine.reads if read.work_id != work_id]
+            engine.writers = [writer for writer in engine.writers if writer.work_id != work_id]
+
     def _place_waiting(self):
         """Look at all that wait; later again, as what they wait for may be time alone."""
-        for request in [r for r in self._waiting if self.now_s > r.arrived_s + patience_s(r.kind)]:
-            request.refused = True
-            self._waiting.remove(request)
+        ahead = 0
         for request in sorted(self._waiting, key=self._turn):
-            placing = self._choose(request)
-            if placing is not None:
+            placing = self._choose(request, ahead)
+            if isinstance(placing, Placing):
                 self._waiting.remove(request)
+                request.waited_s = self.now_s - request.arrived_s
+                if request.waited_s:
+                    self._backlog.note_grant(self.now_s)
                 self._begin(request, placing)
+            elif placing is Verdict.REFUSE:
+                self._waiting.remove(request)
+                request.waited_s = self.now_s - request.arrived_s
+                request.refused = True
+            else:
+                ahead += 1
         if self._waiting and not self._recheck_set:
             self._recheck_set = True
             self._at(self.now_s + RECHECK_S, self._recheck)
@@ -208,18 +238,28 @@
             worth=0.75 * kind.worth,
         )
 
-    def _choose(self, request):
+    def _choose(self, request, ahead):
+        """Return a placing, or what becomes of a request that gets none now."""
         prompt = self._prompt(request)
         candidates = [
             Candidate(target_id=name, load=self.board.load(name)) for name in self.engines
         ]
+        if self.policy is not place_prompt:
+            return self.policy(prompt, candidates, self.model, self.now_s)
         demand = self._demand()
-        options = {"demand": demand} if self.policy is place_prompt else {}
-        placing = self.policy(prompt, candidates, self.model, self.now_s, **options)
-        if placing is None or self.policy is not place_prompt:
-            return placing
-        settled = self.now_s - request.arrived_s >= self._settle_share * patience_s(request.kind)
-        return placing if settled or is_worth_it(placing, prompt, demand) else None
+        placing = place_prompt(prompt, candidates, self.model, self.now_s, demand=demand)
+        if placing is None:
+            self._backlog.note_waiting(self.now_s)
+            in_vain = self._backlog.waits_in_vain(
+                self.now_s,
+                due_in_s=prompt.due_in_s,
+                least_s=least_first_s(self.model, prompt.tokens),
+                ahead=ahead,
+            )
+            return Verdict.REFUSE if in_vain else Verdict.WAIT
+        settles_s = request.arrived_s + self._settle_share * patience_s(request.kind)
+        verdict = judge(placing, prompt, demand, is_settled=self.now_s >= settles_s)
+        return placing if verdict is Verdict.PLACE else verdict
 
     def _demand(self):
         """Return what is to be expected."""
@@ -295,7 +335,8 @@
 
     def _end_pass(self, engine, done, writers):
         for writer in writers:
-            self._write(engine, writer)
+            if not writer.request.left:
+                self._write(engine, writer)
         for read in done:
             self._end_part(read.work_id)
         self._run_pass(engine)
@@ -325,6 +366,8 @@
         if self._parts_left[work_id]:
             return
         request = self._by_work[work_id]
+        if request.left:
+            return
         host = self.engines[self._placings[work_id].host_id]
         host.writers.append(_Writer(work_id, request, request.tokens, request.events))
         if not host.is_running:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,9 +12,10 @@
     Placing,
     Prompt,
     TargetLoad,
+    Verdict,
     Work,
     expected_demand,
-    is_worth_it,
+    judge,
     least_first_s,
     place_prompt,
     queue_turn,
@@ -222,10 +223,10 @@
             helper_ids=("e1",),
             part_read_s=0.4,
         )
-        self.assertTrue(is_worth_it(placing, prompt, Demand(read_load=0.5)))
-        self.assertFalse(is_worth_it(placing, prompt, Demand(read_load=1.2)))
+        self.assertIs(judge(placing, prompt, Demand(read_load=0.5)), Verdict.PLACE)
+        self.assertIs(judge(placing, prompt, Demand(read_load=1.2)), Verdict.WAIT)
         dear = replace(prompt, worth=10.0)
-        self.assertTrue(is_worth_it(placing, dear, Demand(read_load=1.2)))
+        self.assertIs(judge(placing, dear, Demand(read_load=1.2)), Verdict.PLACE)
 
 
 class ChoiceTest(unittest.TestCase):
