--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import statistics
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -40,6 +41,8 @@
 RECHECK_S = 0.02
 NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
+RETRY_SPREAD = 0.5
+RETRY_SHARE_OF_TIME = 0.6
 OUTPUT_MARGIN = 1.3
 # For this share of the time that a prompt may wait, it waits for a place that harms others little.
 SETTLE_SHARE = 0.7
@@ -334,7 +337,7 @@
         return fail(
             ErrorKind.OVERLOADED,
             f"no target of {waiter.job.service} would have room in time",
-            retry_after_s=self._retry_after_s(waiter.job, self._loop.time()),
+            retry_after_s=self._retry_after_s(waiter, self._loop.time()),
         )
 
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
@@ -495,12 +498,20 @@
             ends_in_s=waiter.leaves_s - now_s,
         )
 
-    def _retry_after_s(self, job: Job, now_s: float) -> float:
-        """Return when room is to be expected: when half of the targets have read what they have."""
+    def _retry_after_s(self, waiter: _Waiter, now_s: float) -> float:
+        """Return when there should be room: as late as the backlog is old, or reads are long."""
+        job = waiter.job
         pool = self._directory.targets_of(job.service)
         waits_s = [self._board.load(t.instance_id).read_wait_s(now_s) for t in pool]
-        expected_s = statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S
-        return min(MAX_RETRY_AFTER_S, max(expected_s, job.route.target_latency_s / 2))
+        expected_s = max(
+            statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S,
+            self._backlog(waiter).lasted_s(now_s),
+            job.route.target_latency_s / 2,
+        )
+        # Callers that come back all at once would be a burst of their own.
+        spread_s = expected_s * random.uniform(1.0, 1.0 + RETRY_SPREAD)
+        time_left_s = RETRY_SHARE_OF_TIME * (job.caller_limit_s - now_s)
+        return max(0.0, min(MAX_RETRY_AFTER_S, spread_s, time_left_s))
 
     def _new_work_id(self) -> str:
         return f"{self._owner}-{next(self._counter)}"
--- a/src/cicadatiller/placement/_queue.py
+++ b/src/cicadatiller/placement/_queue.py
@@ -61,9 +61,7 @@
 
     def is_lasting(self, now_s: float) -> bool:
         """Tell whether requests have been waiting for so long that it is no burst."""
-        if self._since_s is None or now_s - self._seen_s > REST_S:
-            return False
-        return now_s - self._since_s >= LASTING_S
+        return self.lasted_s(now_s) >= LASTING_S
 
     def waits_in_vain(self, now_s: float, *, due_in_s: float, least_s: float, ahead: int) -> bool:
         """Tell whether a request should be refused instead of waiting.
@@ -78,6 +76,8 @@
             return False
         return due_in_s - least_s < (ahead + 1) * self._interval_s
 
-    def room_in_s(self, ahead: int) -> float:
-        """Return when there should be room for a request that has some before it."""
-        return (ahead + 1) * self._interval_s
+    def lasted_s(self, now_s: float) -> float:
+        """Return for how long requests have been waiting; as long again is to be expected."""
+        if self._since_s is None or now_s - self._seen_s > REST_S:
+            return 0.0
+        return now_s - self._since_s
