--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -395,7 +395,9 @@
     ) -> Grant | None:
         prompt = self._with_time_left(waiter, now_s)
         demand = self._demand(waiter.job.service, model, now_s)
-        verdict = judge(placing, prompt, demand, is_settled=now_s >= waiter.settle_s)
+        is_in_vain = prompt.due_in_s <= 0 and self._backlog(waiter).is_lasting(now_s)
+        is_settled = is_in_vain or now_s >= waiter.settle_s
+        verdict = judge(placing, prompt, demand, is_settled=is_settled)
         if verdict is Verdict.REFUSE:
             raise self._refusal(waiter)
         if verdict is Verdict.WAIT:
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -35,7 +35,7 @@
 HARM_FOR_LATE = 0.1
 # What an answer is worth that comes late, as a share of what is lost by coming late.
 LATE_WORTH = 0.33
-STAY_SHARE = 0.9
+STAY_SHARE = 0.6
 FREE_READ_LOAD = 0.5
 FULL_READ_LOAD = 1.0
 READ_PRICE = 3.0
--- a/tests/support/engine_play.py
+++ b/tests/support/engine_play.py
@@ -258,7 +258,9 @@
             )
             return Verdict.REFUSE if in_vain else Verdict.WAIT
         settles_s = request.arrived_s + self._settle_share * patience_s(request.kind)
-        verdict = judge(placing, prompt, demand, is_settled=self.now_s >= settles_s)
+        is_in_vain = prompt.due_in_s <= 0 and self._backlog.is_lasting(self.now_s)
+        is_settled = is_in_vain or self.now_s >= settles_s
+        verdict = judge(placing, prompt, demand, is_settled=is_settled)
         return placing if verdict is Verdict.PLACE else verdict
 
     def _demand(self):
