--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -16,9 +16,10 @@
 from ._patience import read_patiently
 from ._progress import Progress
 from ._retry_budget import RetryBudget
-from ._scheduler import Grant, Scheduler
+from ._scheduler import Scheduler
 from ._stream import StreamRelay
 from ._tickets import HeldTickets, NoRoomError, TicketOffice
+from ._waiter import Grant
 from ._wire import TargetFields, WireCodec
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -23,21 +23,15 @@
     Work,
     expected_demand,
     judge,
-    least_first_s,
-    pass_s,
     place_call,
     place_prompt,
-    queue_turn,
-    read_s,
     write_s,
 )
 from ..routes import EngineModel, Service
 from ._job import Job
+from ._waiter import Grant, Waiter, caller_leaves_s, least_begin_s, least_work_s
 from ._weights import WorthWeights
 
-PATIENCE_MIN_S = 2.0
-PATIENCE_LATENCIES = 4
-PATIENCE_GAPS = 8
 RECHECK_S = 0.02
 NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
@@ -63,55 +57,6 @@
         """Take a request that is over."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Grant:
-    """The targets that a request was given.
-
-    Attributes:
-        work_id: Its work on the board.
-        host: The target that gets the request.
-        helpers: Targets that read parts of the prompt.
-        placing: How it was placed; None for a plain service.
-        host_in_flight: How many requests the host had, this one included.
-        host_pace: How much slower the host was than its model says, as last known.
-        host_wait_s: How long the host still had to read for others, as far as was known.
-    """
-
-    work_id: str
-    host: Target
-    helpers: tuple[Target, ...] = ()
-    placing: Placing | None = None
-    host_in_flight: int = 0
-    host_pace: float = 1.0
-    host_wait_s: float = 0.0
-
-    @property
-    def target_ids(self) -> tuple[str, ...]:
-        """Return all targets that have a part."""
-        return (self.host.instance_id, *(helper.instance_id for helper in self.helpers))
-
-
-@dataclass(kw_only=True, slots=True)
-class _Waiter:
-    job: Job
-    prompt: Prompt | None
-    least_s: float
-    excluded: frozenset[str]
-    only: frozenset[str] | None
-    settle_s: float
-    give_up_s: float
-    leaves_s: float
-    future: asyncio.Future[Grant]
-
-    def order(self, now_s: float) -> tuple[int, bool, float]:
-        priority = self.job.route.priority
-        if self.job.workspace is not None and self.job.workspace.priority is not None:
-            priority = self.job.workspace.priority
-        due_s = self.job.request.read_at_s + self.job.route.target_latency_s
-        is_late, due_in_s = queue_turn(due_in_s=due_s - now_s, least_s=self.least_s)
-        return priority, is_late, due_in_s
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _DatedDemand:
     demand: Demand
@@ -152,7 +97,7 @@
         self._listener = listener
         self._ticket_risk = ticket_risk
         self._weights = weights or WorthWeights()
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[Waiter] = []
         self._backlogs: dict[str, Backlog] = {}
         self._demands: dict[str, _DatedDemand] = {}
         self._counter = itertools.count(1)
@@ -178,14 +123,14 @@
             FailureError: If it can't be served in time; it was not sent then.
         """
         service = self._services(job.service)
-        leaves_s = _caller_leaves_s(job)
-        give_up_s = leaves_s - _least_work_s(job, service)
+        leaves_s = caller_leaves_s(job)
+        give_up_s = leaves_s - least_work_s(job, service)
         arrived_s = job.request.read_at_s
         prompt = self._describe(job, service)
-        waiter = _Waiter(
+        waiter = Waiter(
             job=job,
             prompt=prompt,
-            least_s=_least_first_s(prompt, service),
+            least_s=least_begin_s(prompt, service),
             excluded=frozenset(excluded),
             only=only,
             settle_s=arrived_s + SETTLE_SHARE * (give_up_s - arrived_s),
@@ -256,7 +201,7 @@
         if self._waiters:
             self._schedule_recheck(RECHECK_S)
 
-    def _check(self, waiter: _Waiter, ahead: int, now_s: float) -> None:
+    def _check(self, waiter: Waiter, ahead: int, now_s: float) -> None:
         try:
             grant = self._try(waiter, ahead)
         except Exception as error:
@@ -266,18 +211,20 @@
             self._backlog(waiter).note_grant(now_s)
             waiter.future.set_result(grant)
         elif now_s >= waiter.give_up_s:
-            waiter.future.set_exception(self._refusal(waiter))
+            waited_s = now_s - waiter.job.request.read_at_s
+            reason = f"it found no good place within {waited_s:.1f} s"
+            waiter.future.set_exception(self._refusal(waiter, reason))
 
-    def _ahead_of(self, waiter: _Waiter) -> int:
+    def _ahead_of(self, waiter: Waiter) -> int:
         now_s = self._loop.time()
         turn = waiter.order(now_s)
         service = waiter.job.service
         return sum(w.job.service == service and w.order(now_s) < turn for w in self._waiters)
 
-    def _backlog(self, waiter: _Waiter) -> Backlog:
+    def _backlog(self, waiter: Waiter) -> Backlog:
         return self._backlogs.setdefault(waiter.job.service, Backlog())
 
-    def _try(self, waiter: _Waiter, ahead: int) -> Grant | None:
+    def _try(self, waiter: Waiter, ahead: int) -> Grant | None:
         """Return targets for a request, or None if it is to wait.
 
         Raises:
@@ -301,7 +248,7 @@
             self._wait_for_room(waiter, ahead, now_s)
         return grant
 
-    def _pool_for(self, waiter: _Waiter, now_s: float) -> list[Target]:
+    def _pool_for(self, waiter: Waiter, now_s: float) -> list[Target]:
         job = waiter.job
         pool = self._directory.targets_of(job.service)
         if not pool:
@@ -323,7 +270,7 @@
     def _has_slot(self, pool: list[Target], model: EngineModel) -> bool:
         return any(self._board.load(t.instance_id).in_flight < model.slots for t in pool)
 
-    def _wait_for_room(self, waiter: _Waiter, ahead: int, now_s: float) -> None:
+    def _wait_for_room(self, waiter: Waiter, ahead: int, now_s: float) -> None:
         """Have a request wait, or refuse it if others will have taken all room until it is due."""
         backlog = self._backlog(waiter)
         backlog.note_waiting(now_s)
@@ -331,12 +278,15 @@
         if backlog.waits_in_vain(
             now_s, due_in_s=due_s - now_s, least_s=waiter.least_s, ahead=ahead
         ):
-            raise self._refusal(waiter)
+            reason = (
+                f"{ahead} requests wait before it, one finds room in {backlog.interval_s:.2f} s"
+            )
+            raise self._refusal(waiter, f"{reason}, and it is due in {due_s - now_s:.2f} s")
 
-    def _refusal(self, waiter: _Waiter) -> FailureError:
+    def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
         return fail(
             ErrorKind.OVERLOADED,
-            f"no target of {waiter.job.service} would have room in time",
+            f"the targets of {waiter.job.service} are overloaded: {reason}",
             retry_after_s=self._retry_after_s(waiter, self._loop.time()),
         )
 
@@ -363,7 +313,7 @@
         return self._grant(Grant(work_id=work.work_id, host=host), (work,))
 
     def _choose(
-        self, waiter: _Waiter, model: EngineModel, pool: list[Target], now_s: float
+        self, waiter: Waiter, model: EngineModel, pool: list[Target], now_s: float
     ) -> Placing | None:
         prompt = self._with_time_left(waiter, now_s)
         candidates = [
@@ -387,7 +337,7 @@
 
     def _settle(
         self,
-        waiter: _Waiter,
+        waiter: Waiter,
         placing: Placing,
         model: EngineModel,
         pool: list[Target],
@@ -399,7 +349,7 @@
         is_settled = is_in_vain or now_s >= waiter.settle_s
         verdict = judge(placing, prompt, demand, is_settled=is_settled)
         if verdict is Verdict.REFUSE:
-            raise self._refusal(waiter)
+            raise self._refusal(waiter, _why_refused(placing, prompt))
         if verdict is Verdict.WAIT:
             return None
         by_id = {target.instance_id: target for target in pool}
@@ -487,7 +437,7 @@
             worth=self._weights.late_loss(fields.prompt_tokens),
         )
 
-    def _with_time_left(self, waiter: _Waiter, now_s: float) -> Prompt:
+    def _with_time_left(self, waiter: Waiter, now_s: float) -> Prompt:
         prompt = waiter.prompt
         assert prompt is not None
         passed_s = now_s - waiter.job.request.read_at_s
@@ -500,7 +450,7 @@
             ends_in_s=waiter.leaves_s - now_s,
         )
 
-    def _retry_after_s(self, waiter: _Waiter, now_s: float) -> float:
+    def _retry_after_s(self, waiter: Waiter, now_s: float) -> float:
         """Return when there should be room: as late as the backlog is old, or reads are long."""
         job = waiter.job
         pool = self._directory.targets_of(job.service)
@@ -519,26 +469,8 @@
         return f"{self._owner}-{next(self._counter)}"
 
 
-def _least_first_s(prompt: Prompt | None, service: Service | None) -> float:
-    if prompt is None or service is None or service.engine is None:
-        return 0.0
-    return least_first_s(service.engine, prompt.tokens)
-
-
-def _caller_leaves_s(job: Job) -> float:
-    """Return when the caller stops waiting for the first part of an answer."""
-    route = job.route
-    patience_s = max(
-        PATIENCE_MIN_S,
-        PATIENCE_LATENCIES * route.target_latency_s,
-        PATIENCE_GAPS * (route.max_gap_s or 0.0),
+def _why_refused(placing: Placing, prompt: Prompt) -> str:
+    return (
+        f"its first event is expected in {placing.first_in_s:.1f} s, its caller stays for "
+        f"{prompt.ends_in_s:.1f} s, and others would lose {placing.harm:.1f} by it"
     )
-    return min(job.limit_s, job.request.read_at_s + patience_s)
-
-
-def _least_work_s(job: Job, service: Service | None) -> float:
-    """Return the least time in which a request that was placed is answered."""
-    if service is None or service.engine is None:
-        return job.route.target_latency_s / 2
-    model = service.engine
-    return read_s(model, job.fields.prompt_tokens) / 4 + pass_s(model, 1, 0)
--- a/src/cicadatiller/placement/_queue.py
+++ b/src/cicadatiller/placement/_queue.py
@@ -38,13 +38,16 @@
 
     A burst that is over soon is best waited out. While more come than can be served, what can't be
     on time any more would wait in vain.
+
+    Attributes:
+        interval_s: The smoothed time from one that finds room to the next.
     """
 
     def __init__(self) -> None:
         self._since_s: float | None = None
         self._seen_s = -math.inf
         self._granted_s = -math.inf
-        self._interval_s = 0.0
+        self.interval_s = 0.0
 
     def note_waiting(self, now_s: float) -> None:
         """Note that a request found no room."""
@@ -56,7 +59,7 @@
     def note_grant(self, now_s: float) -> None:
         """Note that a request that had waited found room."""
         taken_s = now_s - self._granted_s
-        self._interval_s += INTERVAL_GAIN * (taken_s - self._interval_s)
+        self.interval_s += INTERVAL_GAIN * (taken_s - self.interval_s)
         self._granted_s = now_s
 
     def is_lasting(self, now_s: float) -> bool:
@@ -74,7 +77,7 @@
         """
         if not self.is_lasting(now_s):
             return False
-        return due_in_s - least_s < (ahead + 1) * self._interval_s
+        return due_in_s - least_s < (ahead + 1) * self.interval_s
 
     def lasted_s(self, now_s: float) -> float:
         """Return for how long requests have been waiting; as long again is to be expected."""
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -18,19 +18,22 @@
 
 
 class Listener:
-    """Hears nothing."""
+    """Keeps what it heard."""
+
+    def __init__(self):
+        self.heard = []
 
     def work_added(self, works):
-        pass
+        self.heard.append(("added", works[0].work_id))
 
     def work_begun(self, work_id):
-        pass
+        self.heard.append(("begun", work_id))
 
     def work_ended(self, work_id):
-        pass
+        self.heard.append(("ended", work_id))
 
 
-def a_scheduler(*, targets):
+def a_scheduler(*, targets, listener=None):
     directory = TargetDirectory()
     for number in range(targets):
         directory.put(
@@ -50,7 +53,7 @@
         directory=directory,
         board=LoadBoard(),
         services=services.get,
-        listener=Listener(),
+        listener=listener or Listener(),
     )
 
 
@@ -150,6 +153,26 @@
         self.assertEqual(order, ["high", "low"])
 
 
+class FreedPlaceTest(SchedulerCase):
+    def test_peers_hear_of_a_freed_place_together_with_who_takes_it(self):
+        async def scenario():
+            listener = Listener()
+            scheduler = a_scheduler(targets=1, listener=listener)
+            grants = await self.fill(scheduler)
+            waiting = asyncio.create_task(scheduler.acquire(a_job("w", target_latency_s=5.0)))
+            await asyncio.sleep(0.05)
+            listener.heard.clear()
+            updates = []
+            release, loop = scheduler.release, asyncio.get_running_loop()
+            release(grants[0])
+            # Peers are told in the next turn of the loop after the first thing to tell.
+            loop.call_soon(lambda: updates.append(list(listener.heard)))
+            await waiting
+            return updates[0]
+
+        self.assertEqual([kind for kind, _ in self.run_paused(scenario())], ["ended", "added"])
+
+
 class RefusalTest(SchedulerCase):
     def test_one_that_waited_in_vain_is_refused_long_before_its_limit(self):
         async def scenario():
@@ -167,6 +190,35 @@
         self.assertLess(taken_s, 3.0)
         self.assertEqual(waiting, 0)
 
+    def test_in_a_lasting_backlog_those_that_can_not_be_on_time_are_refused_soon(self):
+        async def scenario():
+            scheduler = a_scheduler(targets=1)
+            grants = await self.fill(scheduler)
+            loop = asyncio.get_running_loop()
+            refused_s = []
+
+            async def come():
+                began_s = loop.time()
+                try:
+                    grants.append(await scheduler.acquire(a_job("r", target_latency_s=0.3)))
+                except FailureError as error:
+                    refused_s.append((began_s, loop.time() - began_s))
+                    self.assertGreater(error.failure.retry_after_s, 0.15)
+
+            callers = []
+            for number in range(150):
+                callers.append(asyncio.create_task(come()))
+                await asyncio.sleep(0.02)
+                if number % 5 == 0:
+                    scheduler.release(grants.pop(0))
+            await asyncio.gather(*callers)
+            return loop.time(), refused_s
+
+        ended_s, refused_s = self.run_paused(scenario())
+        lasting = [taken_s for began_s, taken_s in refused_s if began_s > ended_s - 2.5]
+        self.assertGreater(len(lasting), 50)
+        self.assertLess(max(lasting), 0.4)
+
     def test_without_targets_it_is_refused_at_once(self):
         async def scenario():
             scheduler = a_scheduler(targets=0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from cicadatiller.placement import (
+    Backlog,
     Candidate,
     Demand,
     LoadBoard,
@@ -229,6 +230,63 @@
         self.assertIs(judge(placing, dear, Demand(read_load=1.2)), Verdict.PLACE)
 
 
+class JudgeTest(unittest.TestCase):
+    def judge(self, *, harm=0.0, first_in_s=0.5, read_load=0.0, is_settled=False, **changes):
+        fields = {"tokens": 4000, "output_tokens": 700, "due_in_s": 1.0, "max_gap_s": 1.0}
+        prompt = Prompt(**(fields | {"worth": 2.0, "ends_in_s": 4.0} | changes))
+        placing = Placing(host_id="e0", part_read_s=0.1, first_in_s=first_in_s, harm=harm)
+        return judge(placing, prompt, Demand(read_load=read_load), is_settled=is_settled)
+
+    def test_one_that_would_begin_after_its_caller_has_left_is_refused(self):
+        self.assertIs(self.judge(first_in_s=3.9), Verdict.REFUSE)
+        self.assertIs(self.judge(first_in_s=1.0), Verdict.PLACE)
+
+    def test_one_that_harms_others_waits_until_it_is_settled(self):
+        self.assertIs(self.judge(harm=1.8), Verdict.WAIT)
+        self.assertIs(self.judge(harm=1.8, is_settled=True), Verdict.PLACE)
+
+    def test_one_that_harms_others_more_than_it_gains_is_refused_in_the_end(self):
+        self.assertIs(self.judge(harm=10.0), Verdict.WAIT)
+        self.assertIs(self.judge(harm=10.0, is_settled=True), Verdict.REFUSE)
+
+    def test_one_that_is_late_does_not_wait_for_reading_that_never_becomes_free(self):
+        self.assertIs(self.judge(harm=10.0, due_in_s=-0.1), Verdict.WAIT)
+        self.assertIs(self.judge(harm=10.0, due_in_s=-0.1, read_load=1.2), Verdict.REFUSE)
+
+
+class BacklogTest(unittest.TestCase):
+    def filled(self, *, for_s, every_s=0.1):
+        backlog = Backlog()
+        for step in range(int(for_s / 0.02) + 1):
+            backlog.note_waiting(10.0 + step * 0.02)
+            if step and step % round(every_s / 0.02) == 0:
+                backlog.note_grant(10.0 + step * 0.02)
+        return backlog, 10.0 + for_s
+
+    def in_vain(self, backlog, now_s, *, due_in_s, ahead=0):
+        return backlog.waits_in_vain(now_s, due_in_s=due_in_s, least_s=0.1, ahead=ahead)
+
+    def test_a_burst_is_waited_out_even_by_those_that_are_late(self):
+        backlog, now_s = self.filled(for_s=0.2)
+        self.assertFalse(self.in_vain(backlog, now_s, due_in_s=-1.0, ahead=20))
+
+    def test_in_a_lasting_backlog_late_ones_wait_in_vain(self):
+        backlog, now_s = self.filled(for_s=3.0)
+        self.assertTrue(self.in_vain(backlog, now_s, due_in_s=0.05))
+        self.assertFalse(self.in_vain(backlog, now_s, due_in_s=0.5))
+
+    def test_who_has_many_before_it_waits_in_vain(self):
+        backlog, now_s = self.filled(for_s=3.0)
+        self.assertTrue(self.in_vain(backlog, now_s, due_in_s=0.5, ahead=10))
+
+    def test_it_is_over_once_nobody_has_waited_for_a_moment(self):
+        backlog, now_s = self.filled(for_s=3.0)
+        self.assertAlmostEqual(backlog.lasted_s(now_s), 3.0)
+        self.assertEqual(backlog.lasted_s(now_s + 0.5), 0.0)
+        backlog.note_waiting(now_s + 0.5)
+        self.assertFalse(backlog.is_lasting(now_s + 0.5))
+
+
 class ChoiceTest(unittest.TestCase):
     def candidates(self, count=8):
         return [Candidate(target_id=f"e{n}", load=TargetLoad()) for n in range(count)]
