--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -105,7 +105,10 @@
         while True:
             began_s = self._loop.time()
             grant = await self._scheduler.acquire(
-                job, excluded=progress.tried, only=self._allowed(job, progress)
+                job,
+                excluded=progress.tried,
+                only=self._allowed(job, progress),
+                is_begun=bool(progress.last_event_id),
             )
             progress.waited_s += self._loop.time() - began_s
             self._log_placed(grant, job, progress)
@@ -346,7 +349,7 @@
             target_in_flight=grant.host_in_flight,
             target_pace=round(grant.host_pace, 2),
             target_wait_s=round(grant.host_wait_s, 3),
-            helpers=len(grant.helpers),
+            helpers=[helper.instance_id for helper in grant.helpers],
             tickets=0 if placing is None else len(placing.shares),
             expected_s=None if placing is None else round(placing.first_in_s, 3),
             loss=None if placing is None else round(placing.cost, 2),
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -110,7 +110,12 @@
         return len(self._waiters)
 
     async def acquire(
-        self, job: Job, *, excluded: Iterable[str] = (), only: frozenset[str] | None = None
+        self,
+        job: Job,
+        *,
+        excluded: Iterable[str] = (),
+        only: frozenset[str] | None = None,
+        is_begun: bool = False,
     ) -> Grant:
         """Return targets for a request, once they have room for it.
 
@@ -118,22 +123,25 @@
             job: The request.
             excluded: Targets that it must not go to.
             only: The only targets that it may go to; None for any.
+            is_begun: Whether its caller has events of it already, and so waits anew.
 
         Raises:
             FailureError: If it can't be served in time; it was not sent then.
         """
         service = self._services(job.service)
-        leaves_s = caller_leaves_s(job)
+        since_s = self._loop.time() if is_begun else job.request.read_at_s
+        leaves_s = caller_leaves_s(job, since_s)
         give_up_s = leaves_s - least_work_s(job, service)
-        arrived_s = job.request.read_at_s
         prompt = self._describe(job, service)
         waiter = Waiter(
             job=job,
             prompt=prompt,
+            since_s=since_s,
+            is_begun=is_begun,
             least_s=least_begin_s(prompt, service),
             excluded=frozenset(excluded),
             only=only,
-            settle_s=arrived_s + SETTLE_SHARE * (give_up_s - arrived_s),
+            settle_s=since_s + SETTLE_SHARE * (give_up_s - since_s),
             give_up_s=give_up_s,
             leaves_s=leaves_s,
             future=self._loop.create_future(),
@@ -211,7 +219,7 @@
             self._backlog(waiter).note_grant(now_s)
             waiter.future.set_result(grant)
         elif now_s >= waiter.give_up_s:
-            waited_s = now_s - waiter.job.request.read_at_s
+            waited_s = now_s - waiter.since_s
             reason = f"it found no good place within {waited_s:.1f} s"
             waiter.future.set_exception(self._refusal(waiter, reason))
 
@@ -274,14 +282,14 @@
         """Have a request wait, or refuse it if others will have taken all room until it is due."""
         backlog = self._backlog(waiter)
         backlog.note_waiting(now_s)
-        due_s = waiter.job.request.read_at_s + waiter.job.route.target_latency_s
-        if backlog.waits_in_vain(
-            now_s, due_in_s=due_s - now_s, least_s=waiter.least_s, ahead=ahead
+        due_in_s = waiter.due_in_s(now_s)
+        if not waiter.is_begun and backlog.waits_in_vain(
+            now_s, due_in_s=due_in_s, least_s=waiter.least_s, ahead=ahead
         ):
             reason = (
                 f"{ahead} requests wait before it, one finds room in {backlog.interval_s:.2f} s"
             )
-            raise self._refusal(waiter, f"{reason}, and it is due in {due_s - now_s:.2f} s")
+            raise self._refusal(waiter, f"{reason}, and it is due in {due_in_s:.2f} s")
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
         return fail(
@@ -344,10 +352,7 @@
         now_s: float,
     ) -> Grant | None:
         prompt = self._with_time_left(waiter, now_s)
-        demand = self._demand(waiter.job.service, model, now_s)
-        is_in_vain = prompt.due_in_s <= 0 and self._backlog(waiter).is_lasting(now_s)
-        is_settled = is_in_vain or now_s >= waiter.settle_s
-        verdict = judge(placing, prompt, demand, is_settled=is_settled)
+        verdict = self._judge(waiter, placing, prompt, model, now_s)
         if verdict is Verdict.REFUSE:
             raise self._refusal(waiter, _why_refused(placing, prompt))
         if verdict is Verdict.WAIT:
@@ -362,6 +367,17 @@
         )
         return self._grant(grant, works)
 
+    def _judge(
+        self, waiter: Waiter, placing: Placing, prompt: Prompt, model: EngineModel, now_s: float
+    ) -> Verdict:
+        if waiter.is_begun:
+            # Its caller has a part of the answer, which would be lost.
+            return Verdict.PLACE
+        is_in_vain = prompt.due_in_s <= 0 and self._backlog(waiter).is_lasting(now_s)
+        demand = self._demand(waiter.job.service, model, now_s)
+        is_settled = is_in_vain or now_s >= waiter.settle_s
+        return judge(placing, prompt, demand, is_settled=is_settled)
+
     def _demand(self, service: str, model: EngineModel, now_s: float) -> Demand:
         """Return what to expect of a service's callers; not worked out anew for every request."""
         dated = self._demands.get(service)
@@ -440,7 +456,7 @@
     def _with_time_left(self, waiter: Waiter, now_s: float) -> Prompt:
         prompt = waiter.prompt
         assert prompt is not None
-        passed_s = now_s - waiter.job.request.read_at_s
+        passed_s = now_s - waiter.since_s
         return Prompt(
             tokens=prompt.tokens,
             output_tokens=prompt.output_tokens,
--- a/src/cicadatiller/gateway/_waiter.py
+++ b/src/cicadatiller/gateway/_waiter.py
@@ -48,6 +48,8 @@
     Attributes:
         job: The request.
         prompt: Its prompt at its arrival; None for a call of a plain service.
+        since_s: Since when its caller has been waiting for its next event.
+        is_begun: Whether its caller has events of it already.
         least_s: The least time to its first event, once it has a place.
         excluded: Targets that it must not go to.
         only: The only targets that it may go to; None for any.
@@ -59,6 +61,8 @@
 
     job: Job
     prompt: Prompt | None
+    since_s: float
+    is_begun: bool
     least_s: float
     excluded: frozenset[str]
     only: frozenset[str] | None
@@ -67,14 +71,17 @@
     leaves_s: float
     future: asyncio.Future[Grant]
 
-    def order(self, now_s: float) -> tuple[int, bool, float]:
+    def order(self, now_s: float) -> tuple[int, bool, bool, float]:
         """Return its turn; smaller ones come first."""
         priority = self.job.route.priority
         if self.job.workspace is not None and self.job.workspace.priority is not None:
             priority = self.job.workspace.priority
-        due_s = self.job.request.read_at_s + self.job.route.target_latency_s
-        is_late, due_in_s = queue_turn(due_in_s=due_s - now_s, least_s=self.least_s)
-        return priority, is_late, due_in_s
+        is_late, due_in_s = queue_turn(due_in_s=self.due_in_s(now_s), least_s=self.least_s)
+        return priority, not self.is_begun, is_late, due_in_s
+
+    def due_in_s(self, now_s: float) -> float:
+        """Return until when its answer, or its next event, is due."""
+        return self.since_s + self.job.route.target_latency_s - now_s
 
 
 def least_begin_s(prompt: Prompt | None, service: Service | None) -> float:
@@ -84,15 +91,15 @@
     return least_first_s(service.engine, prompt.tokens)
 
 
-def caller_leaves_s(job: Job) -> float:
-    """Return when the caller stops waiting for the first part of an answer."""
+def caller_leaves_s(job: Job, since_s: float) -> float:
+    """Return when the caller stops waiting for the next part of an answer."""
     route = job.route
     patience_s = max(
         PATIENCE_MIN_S,
         PATIENCE_LATENCIES * route.target_latency_s,
         PATIENCE_GAPS * (route.max_gap_s or 0.0),
     )
-    return min(job.limit_s, job.request.read_at_s + patience_s)
+    return min(job.limit_s, since_s + patience_s)
 
 
 def least_work_s(job: Job, service: Service | None) -> float:
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -219,6 +219,38 @@
         self.assertGreater(len(lasting), 50)
         self.assertLess(max(lasting), 0.4)
 
+    def test_a_stream_that_broke_off_goes_on_long_after_its_arrival(self):
+        async def scenario():
+            scheduler = a_scheduler(targets=1)
+            job = a_job("r", age_s=8.0)
+            with self.assertRaises(FailureError):
+                await scheduler.acquire(job)
+            grant = await scheduler.acquire(job, is_begun=True)
+            return grant.host.instance_id
+
+        self.assertEqual(self.run_paused(scenario()), "t0")
+
+    def test_a_stream_that_broke_off_waits_for_room_before_others(self):
+        async def scenario():
+            scheduler = a_scheduler(targets=1)
+            grants = await self.fill(scheduler)
+            served = []
+
+            async def wait_for(name, **options):
+                await scheduler.acquire(a_job(name, age_s=options.pop("age_s", 0.0)), **options)
+                served.append(name)
+
+            new = asyncio.create_task(wait_for("new"))
+            old = asyncio.create_task(wait_for("old", age_s=5.0, is_begun=True))
+            await asyncio.sleep(0.05)
+            scheduler.release(grants[0])
+            await old
+            scheduler.release(grants[1])
+            await new
+            return served
+
+        self.assertEqual(self.run_paused(scenario()), ["old", "new"])
+
     def test_without_targets_it_is_refused_at_once(self):
         async def scenario():
             scheduler = a_scheduler(targets=0)
