--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -36,6 +36,7 @@
 NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
 RETRY_SPREAD = 0.5
+BACKLOG_AGES = 2.5
 RETRY_SHARE_OF_TIME = 0.6
 OUTPUT_MARGIN = 1.3
 # For this share of the time that a prompt may wait, it waits for a place that harms others little.
@@ -467,13 +468,17 @@
         )
 
     def _retry_after_s(self, waiter: Waiter, now_s: float) -> float:
-        """Return when there should be room: as late as the backlog is old, or reads are long."""
+        """Return when there should be room.
+
+        How long a backlog will last is not known, but the older it is, the longer; a caller that
+        comes back too soon is refused again.
+        """
         job = waiter.job
         pool = self._directory.targets_of(job.service)
         waits_s = [self._board.load(t.instance_id).read_wait_s(now_s) for t in pool]
         expected_s = max(
             statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S,
-            self._backlog(waiter).lasted_s(now_s),
+            BACKLOG_AGES * self._backlog(waiter).lasted_s(now_s),
             job.route.target_latency_s / 2,
         )
         # Callers that come back all at once would be a burst of their own.
