--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -15,6 +15,7 @@
 from ._exposition import Exposition
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
+from ._freed_places import FreedPlaces
 from ._handler import RequestHandler
 from ._members import Membership
 from ._metrics import GatewayMetrics
@@ -257,6 +258,9 @@
             listener=self.team,
             ticket_risk=lambda: self._tickets.risk,
             weights=self._settings.weights,
+            may_take=FreedPlaces(
+                name=self._node.name, peers=lambda: self.team.mesh.heard_peers
+            ).may_take,
         )
 
     def _make_handler(self, codec: WireCodec) -> RequestHandler:
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -19,6 +19,7 @@
     LoadBoard,
     Placing,
     Prompt,
+    TargetLoad,
     Verdict,
     Work,
     expected_demand,
@@ -32,7 +33,7 @@
 from ._waiter import Grant, Waiter, caller_leaves_s, least_begin_s, least_work_s
 from ._weights import WorthWeights
 
-RECHECK_S = 0.02
+RECHECK_S = 0.01
 NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
 RETRY_SPREAD = 0.5
@@ -45,6 +46,9 @@
 ASSUMED_OUTPUT_SHARE = 0.5
 
 
+MayTake = Callable[[str, TargetLoad, int, float], bool]
+
+
 class WorkListener(Protocol):
     """Is told what this entry gives targets to do."""
 
@@ -76,6 +80,7 @@
         listener: Is told what is placed.
         ticket_risk: Returns the chance that a reservation of memory fails.
         weights: How requests are weighed.
+        may_take: Tells whether this entry may give a target one more request now.
     """
 
     def __init__(
@@ -89,6 +94,7 @@
         listener: WorkListener,
         ticket_risk: Callable[[], float] = lambda: 0.0,
         weights: WorthWeights | None = None,
+        may_take: MayTake = lambda target_id, load, slots, now_s: True,
     ) -> None:
         self._owner = owner
         self._data_centre = data_centre
@@ -98,6 +104,7 @@
         self._listener = listener
         self._ticket_risk = ticket_risk
         self._weights = weights or WorthWeights()
+        self._may_take = may_take
         self._waiters: list[Waiter] = []
         self._backlogs: dict[str, Backlog] = {}
         self._demands: dict[str, _DatedDemand] = {}
@@ -330,7 +337,7 @@
                 target_id=target.instance_id,
                 load=self._board.load(target.instance_id),
                 is_near=target.record.data_centre == self._data_centre,
-                may_host=waiter.only is None or target.instance_id in waiter.only,
+                may_host=self._may_host(waiter, target, model, now_s),
                 may_help=target.may_help(now_s),
             )
             for target in pool
@@ -368,6 +375,12 @@
         )
         return self._grant(grant, works)
 
+    def _may_host(self, waiter: Waiter, target: Target, model: EngineModel, now_s: float) -> bool:
+        if waiter.only is not None and target.instance_id not in waiter.only:
+            return False
+        load = self._board.load(target.instance_id)
+        return self._may_take(target.instance_id, load, model.slots, now_s)
+
     def _judge(
         self, waiter: Waiter, placing: Placing, prompt: Prompt, model: EngineModel, now_s: float
     ) -> Verdict:
--- a/src/cicadatiller/gateway/_team.py
+++ b/src/cicadatiller/gateway/_team.py
@@ -135,7 +135,7 @@
         for work_id in update.begun:
             self._board.begin(work_id, theirs.get(work_id, ()), now_s)
         for work_id in update.ended:
-            self._board.remove(work_id, theirs.pop(work_id, ()), now_s)
+            self._board.remove(work_id, theirs.pop(work_id, ()), now_s, by_peer=True)
         for failure in update.failures:
             self._take_failure(name, failure, now_s)
         for paced in update.paces:
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -19,6 +19,7 @@
         pace: How much slower the target is than its model says; 1 if it is as fast.
         call_s: The smoothed time that calls took.
         call_at_s: When the last of them ended.
+        freed_by_peer_s: When a request of a peer ended here last.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,7 @@
         self.pace = 1.0
         self.call_s = 0.0
         self.call_at_s = -math.inf
+        self.freed_by_peer_s = -math.inf
         self._recent: dict[str, Work] = {}
 
     @property
@@ -152,12 +154,24 @@
             if work is not None and not work.writes and not work.kv_tokens:
                 load.remove(work_id, now_s)
 
-    def remove(self, work_id: str, target_ids: Iterable[str], now_s: float) -> None:
-        """Forget a request."""
+    def remove(
+        self, work_id: str, target_ids: Iterable[str], now_s: float, *, by_peer: bool = False
+    ) -> None:
+        """Forget a request.
+
+        Args:
+            work_id: Its work.
+            target_ids: The targets that had a part of it.
+            now_s: The time.
+            by_peer: Whether it was a peer's.
+        """
         for target_id in target_ids:
             load = self._loads.get(target_id)
-            if load is not None:
-                load.remove(work_id, now_s)
+            if load is None:
+                continue
+            load.remove(work_id, now_s)
+            if by_peer:
+                load.freed_by_peer_s = now_s
 
     def remove_owner(self, owner: str, now_s: float) -> None:
         """Forget all work of an entry that is gone."""
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -1,14 +1,16 @@
 """Which of the requests that wait for a target gets one first, and which are refused."""
 
 import asyncio
+import unittest
 
 from cicadatiller.fleet import TargetDirectory, TargetRecord, TargetState
+from cicadatiller.gateway._freed_places import STEP_S, FreedPlaces
 from cicadatiller.gateway._job import Job
 from cicadatiller.gateway._scheduler import Scheduler
 from cicadatiller.gateway._wire import RequestFields
 from cicadatiller.ingress import Request
 from cicadatiller.kernel import ErrorKind, FailureError
-from cicadatiller.placement import LoadBoard
+from cicadatiller.placement import LoadBoard, Work
 from cicadatiller.routes import Route, RouteKind, Service, Split
 
 from .support.engine_play import ENGINE
@@ -173,6 +175,35 @@
         self.assertEqual([kind for kind, _ in self.run_paused(scenario())], ["ended", "added"])
 
 
+class LastPlaceTest(unittest.TestCase):
+    ENTRIES = ("a", "b", "c", "d", "e")
+
+    def load(self, *, in_flight):
+        board = LoadBoard()
+        for number in range(in_flight + 1):
+            work = Work(work_id=f"w{number}", owner="a", target_id="t", placed_s=9.0)
+            board.add([work])
+        board.remove("w0", ["t"], 10.0, by_peer=True)
+        return board.load("t")
+
+    def who_may(self, load, now_s):
+        return [
+            name
+            for name in self.ENTRIES
+            if FreedPlaces(
+                name=name, peers=lambda name=name: [n for n in self.ENTRIES if n != name]
+            ).may_take("t", load, 8, now_s)
+        ]
+
+    def test_entries_take_a_last_place_one_after_the_other(self):
+        load = self.load(in_flight=7)
+        counts = [len(self.who_may(load, 10.0001 + step * STEP_S)) for step in range(6)]
+        self.assertEqual(counts, [1, 2, 3, 4, 5, 5])
+
+    def test_where_there_is_more_room_all_may(self):
+        self.assertEqual(self.who_may(self.load(in_flight=6), 10.0), list(self.ENTRIES))
+
+
 class RefusalTest(SchedulerCase):
     def test_one_that_waited_in_vain_is_refused_long_before_its_limit(self):
         async def scenario():
