--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -497,7 +497,7 @@
         # Callers that come back all at once would be a burst of their own.
         spread_s = expected_s * random.uniform(1.0, 1.0 + RETRY_SPREAD)
         time_left_s = RETRY_SHARE_OF_TIME * (job.caller_limit_s - now_s)
-        return max(0.0, min(MAX_RETRY_AFTER_S, spread_s, time_left_s))
+        return round(max(0.0, min(MAX_RETRY_AFTER_S, spread_s, time_left_s)), 3)
 
     def _new_work_id(self) -> str:
         return f"{self._owner}-{next(self._counter)}"
