--- a/src/cicadatiller/gateway/_waiter.py
+++ b/src/cicadatiller/gateway/_waiter.py
@@ -71,17 +71,18 @@
     leaves_s: float
     future: asyncio.Future[Grant]
 
-    def order(self, now_s: float) -> tuple[int, bool, bool, float]:
+    def order(self, now_s: float) -> tuple[int, bool, float]:
         """Return its turn; smaller ones come first."""
         priority = self.job.route.priority
         if self.job.workspace is not None and self.job.workspace.priority is not None:
             priority = self.job.workspace.priority
         is_late, due_in_s = queue_turn(due_in_s=self.due_in_s(now_s), least_s=self.least_s)
-        return priority, not self.is_begun, is_late, due_in_s
+        return priority, is_late, due_in_s
 
     def due_in_s(self, now_s: float) -> float:
-        """Return until when its answer, or its next event, is due."""
-        return self.since_s + self.job.route.target_latency_s - now_s
+        """Return until when its answer is due; a stream that broke off is late already."""
+        allowed_s = 0.0 if self.is_begun else self.job.route.target_latency_s
+        return self.since_s + allowed_s - now_s
 
 
 def least_begin_s(prompt: Prompt | None, service: Service | None) -> float:
