--- a/tests/support/engine_play.py
+++ b/tests/support/engine_play.py
@@ -220,6 +220,8 @@
             self._at(self.now_s + RECHECK_S, self._recheck)
 
     def _turn(self, request):
+        if self.policy is not place_prompt:
+            return request.arrived_s
         due_s = request.arrived_s + request.kind.target_latency_s
         least_s = least_first_s(self.model, request.tokens)
         return queue_turn(due_in_s=due_s - self.now_s, least_s=least_s)
@@ -399,6 +401,27 @@
     )
 
 
+def round_robin():
+    """Return a policy that takes the targets in turn, and waits while they are full."""
+    turns = itertools.count()
+
+    def place(prompt, candidates, model, now_s):
+        first = next(turns)
+        for number in range(len(candidates)):
+            candidate = candidates[(first + number) % len(candidates)]
+            placing = least_in_flight(prompt, [candidate], model, now_s)
+            if placing is not None:
+                return placing
+        return None
+
+    return place
+
+
+def at_least_loss(prompt, candidates, model, now_s):
+    """Place at once where least is lost, whatever is still to come."""
+    return place_prompt(prompt, candidates, model, now_s)
+
+
 def share_on_time(requests, kind_name):
     """Return the share of a kind's requests that were on time."""
     of_kind = [request for request in requests if request.kind.name == kind_name]
