--- /dev/null
+++ b/src/cicadatiller/gateway/_prompts.py
@@ -0,0 +1,90 @@
+"""What a request's prompt needs, and what its placing gives targets to do."""
+
+from dataclasses import replace
+
+from ..placement import Placing, Prompt, Work, write_s
+from ..routes import EngineModel, Service
+from ._job import Job
+from ._waiter import Waiter
+from ._weights import WorthWeights
+
+OUTPUT_MARGIN = 1.3
+ASSUMED_OUTPUT_SHARE = 0.5
+
+
+def describe_prompt(job: Job, service: Service | None, weights: WorthWeights) -> Prompt | None:
+    """Return a request's prompt as it is at its arrival; None for a call of a plain service."""
+    fields = job.fields
+    if service is None or service.engine is None or fields.prompt_tokens <= 0:
+        return None
+    estimate = fields.output_estimate_tokens or service.engine.mean_output_tokens
+    estimate = estimate or ASSUMED_OUTPUT_SHARE * fields.max_output_tokens
+    output = min(OUTPUT_MARGIN * estimate, fields.max_output_tokens or estimate)
+    return Prompt(
+        tokens=fields.prompt_tokens,
+        output_tokens=int(output),
+        due_in_s=job.route.target_latency_s,
+        max_gap_s=job.route.max_gap_s or job.route.target_latency_s,
+        worth=weights.late_loss(fields.prompt_tokens),
+    )
+
+
+def with_time_left(waiter: Waiter, now_s: float) -> Prompt:
+    """Return the prompt of a waiting request with the time that is left of its times."""
+    assert waiter.prompt is not None
+    return replace(
+        waiter.prompt,
+        due_in_s=waiter.due_in_s(now_s),
+        ends_in_s=waiter.leaves_s - now_s,
+    )
+
+
+def split_work(
+    prompt: Prompt,
+    placing: Placing,
+    model: EngineModel,
+    *,
+    work_id: str,
+    owner: str,
+    now_s: float,
+) -> tuple[Work, ...]:
+    """Return the work of each target of a placed prompt, that of the host first."""
+    size = 1 + len(placing.helper_ids)
+    kept = {share.target_id: share.tokens for share in placing.shares}
+    host = Work(
+        work_id=work_id,
+        owner=owner,
+        target_id=placing.host_id,
+        read_s=placing.part_read_s,
+        read_tokens=prompt.tokens // size,
+        kv_tokens=placing.host_kv_tokens,
+        context_tokens=prompt.tokens - sum(kept.values()),
+        max_gap_s=prompt.max_gap_s,
+        due_in_s=prompt.due_in_s,
+        worth=prompt.worth,
+        write_s=write_s(model, prompt.output_tokens, 1, prompt.tokens),
+        placed_s=now_s,
+    )
+    helpers = [
+        Work(
+            work_id=work_id,
+            owner=owner,
+            target_id=helper_id,
+            read_s=placing.part_read_s,
+            read_tokens=prompt.tokens // size,
+            kv_tokens=kept.get(helper_id, 0),
+            context_tokens=kept.get(helper_id, 0),
+            writes=False,
+            placed_s=now_s,
+        )
+        for helper_id in placing.helper_ids
+    ]
+    return (host, *helpers)
+
+
+def explain_refusal(placing: Placing, prompt: Prompt) -> str:
+    """Return why a prompt is refused though there was a place, for the log and the caller."""
+    return (
+        f"its first event is expected in {placing.first_in_s:.1f} s, its caller stays for "
+        f"{prompt.ends_in_s:.1f} s, and others would lose {placing.harm:.1f} by it"
+    )
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -26,10 +26,10 @@
     judge,
     place_call,
     place_prompt,
-    write_s,
 )
 from ..routes import EngineModel, Service
 from ._job import Job
+from ._prompts import describe_prompt, explain_refusal, split_work, with_time_left
 from ._waiter import Grant, Waiter, caller_leaves_s, least_begin_s, least_work_s
 from ._weights import WorthWeights
 
@@ -39,11 +39,9 @@
 RETRY_SPREAD = 0.5
 BACKLOG_AGES = 2.5
 RETRY_SHARE_OF_TIME = 0.6
-OUTPUT_MARGIN = 1.3
 # For this share of the time that a prompt may wait, it waits for a place that harms others little.
 SETTLE_SHARE = 0.7
 DEMAND_MAX_AGE_S = 0.1
-ASSUMED_OUTPUT_SHARE = 0.5
 
 
 MayTake = Callable[[str, TargetLoad, int, float], bool]
@@ -140,7 +138,7 @@
         since_s = self._loop.time() if is_begun else job.request.read_at_s
         leaves_s = caller_leaves_s(job, since_s)
         give_up_s = leaves_s - least_work_s(job, service)
-        prompt = self._describe(job, service)
+        prompt = describe_prompt(job, service, self._weights)
         waiter = Waiter(
             job=job,
             prompt=prompt,
@@ -294,9 +292,7 @@
         if not waiter.is_begun and backlog.waits_in_vain(
             now_s, due_in_s=due_in_s, least_s=waiter.least_s, ahead=ahead
         ):
-            reason = (
-                f"{ahead} requests wait before it, one finds room in {backlog.interval_s:.2f} s"
-            )
+            reason = f"{ahead} waiting before it, room for one every {backlog.interval_s:.2f} s"
             raise self._refusal(waiter, f"{reason}, and it is due in {due_in_s:.2f} s")
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
@@ -331,7 +327,7 @@
     def _choose(
         self, waiter: Waiter, model: EngineModel, pool: list[Target], now_s: float
     ) -> Placing | None:
-        prompt = self._with_time_left(waiter, now_s)
+        prompt = with_time_left(waiter, now_s)
         candidates = [
             Candidate(
                 target_id=target.instance_id,
@@ -359,14 +355,21 @@
         pool: list[Target],
         now_s: float,
     ) -> Grant | None:
-        prompt = self._with_time_left(waiter, now_s)
+        prompt = with_time_left(waiter, now_s)
         verdict = self._judge(waiter, placing, prompt, model, now_s)
         if verdict is Verdict.REFUSE:
-            raise self._refusal(waiter, _why_refused(placing, prompt))
+            raise self._refusal(waiter, explain_refusal(placing, prompt))
         if verdict is Verdict.WAIT:
             return None
         by_id = {target.instance_id: target for target in pool}
-        works = self._works(prompt, placing, model, now_s)
+        works = split_work(
+            prompt,
+            placing,
+            model,
+            work_id=self._new_work_id(),
+            owner=self._owner,
+            now_s=now_s,
+        )
         grant = Grant(
             work_id=works[0].work_id,
             host=by_id[placing.host_id],
@@ -414,66 +417,6 @@
             grant, host_in_flight=load.in_flight, host_pace=load.pace, host_wait_s=wait_s
         )
 
-    def _works(
-        self, prompt: Prompt, placing: Placing, model: EngineModel, now_s: float
-    ) -> tuple[Work, ...]:
-        work_id = self._new_work_id()
-        size = 1 + len(placing.helper_ids)
-        kept = {share.target_id: share.tokens for share in placing.shares}
-        host_tokens = prompt.tokens - sum(kept.values())
-        host = Work(
-            work_id=work_id,
-            owner=self._owner,
-            target_id=placing.host_id,
-            read_s=placing.part_read_s,
-            read_tokens=prompt.tokens // size,
-            kv_tokens=placing.host_kv_tokens,
-            context_tokens=host_tokens,
-            max_gap_s=prompt.max_gap_s,
-            due_in_s=prompt.due_in_s,
-            worth=prompt.worth,
-            write_s=write_s(model, prompt.output_tokens, 1, prompt.tokens),
-            placed_s=now_s,
-        )
-        helpers = [
-            Work(
-                work_id=work_id,
-                owner=self._owner,
-                target_id=helper_id,
-                read_s=placing.part_read_s,
-                read_tokens=prompt.tokens // size,
-                kv_tokens=kept.get(helper_id, 0),
-                context_tokens=kept.get(helper_id, 0),
-                writes=False,
-                placed_s=now_s,
-            )
-            for helper_id in placing.helper_ids
-        ]
-        return (host, *helpers)
-
-    def _describe(self, job: Job, service: Service | None) -> Prompt | None:
-        fields = job.fields
-        if service is None or service.engine is None or fields.prompt_tokens <= 0:
-            return None
-        estimate = fields.output_estimate_tokens or service.engine.mean_output_tokens
-        estimate = estimate or ASSUMED_OUTPUT_SHARE * fields.max_output_tokens
-        output = min(OUTPUT_MARGIN * estimate, fields.max_output_tokens or estimate)
-        return Prompt(
-            tokens=fields.prompt_tokens,
-            output_tokens=int(output),
-            due_in_s=job.route.target_latency_s,
-            max_gap_s=job.route.max_gap_s or job.route.target_latency_s,
-            worth=self._weights.late_loss(fields.prompt_tokens),
-        )
-
-    def _with_time_left(self, waiter: Waiter, now_s: float) -> Prompt:
-        assert waiter.prompt is not None
-        return replace(
-            waiter.prompt,
-            due_in_s=waiter.due_in_s(now_s),
-            ends_in_s=waiter.leaves_s - now_s,
-        )
-
     def _retry_after_s(self, waiter: Waiter, now_s: float) -> float:
         """Return when there should be room.
 
@@ -495,10 +438,3 @@
 
     def _new_work_id(self) -> str:
         return f"{self._owner}-{next(self._counter)}"
-
-
-def _why_refused(placing: Placing, prompt: Prompt) -> str:
-    return (
-        f"its first event is expected in {placing.first_in_s:.1f} s, its caller stays for "
-        f"{prompt.ends_in_s:.1f} s, and others would lose {placing.harm:.1f} by it"
-    )
