--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -37,6 +37,7 @@
 NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
 RETRY_SPREAD = 0.5
+# A backlog that has lasted for a time is over after so many times that, in most cases.
 BACKLOG_AGES = 2.5
 RETRY_SHARE_OF_TIME = 0.6
 # For this share of the time that a prompt may wait, it waits for a place that harms others little.
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -20,10 +20,12 @@
 GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 MIN_PART_TOKENS = 2048
 
+# The chance of being late rises from 0 to 1 between these shares of the time that is allowed.
 LATE_FROM_RATIO = 0.7
 LATE_UNTIL_RATIO = 1.1
 GAP_LATE_FROM_RATIO = 0.75
 GAP_LATE_UNTIL_RATIO = 1.05
+# What makes one choice better than another that loses as much, in units of worth.
 FINISH_WEIGHT = 0.25
 MEMBER_COST = 0.02
 OPENING_COST = 0.1
@@ -31,14 +33,17 @@
 FAR_COST = 0.005
 KV_USABLE_SHARE = 0.95
 USABLE_SLOTS_SHARE = 0.75
+# How much others may lose for what a prompt gains, and for one that is late.
 HARM_FOR_GAIN = 0.6
 HARM_FOR_LATE = 0.1
 # What an answer is worth that comes late, as a share of what is lost by coming late.
 LATE_WORTH = 0.33
+# Later than at this share of the time until its caller leaves, a first event is too unsure.
 STAY_SHARE = 0.6
+# Reading is free below this share of the targets' time; above, a second of it costs so much worth.
 FREE_READ_LOAD = 0.5
-FULL_READ_LOAD = 1.0
 READ_PRICE = 3.0
+FULL_READ_LOAD = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/cicadatiller/placement/_queue.py
+++ b/src/cicadatiller/placement/_queue.py
@@ -5,9 +5,11 @@
 from ..routes import EngineModel
 from ._engine import pass_s, read_s
 
+# A prompt waits for the pass that runs, is read in one, and seen after one more.
 LEAST_PASSES = 3.5
 LEAST_PART_TOKENS = 8192
 MOST_PARTS = 8
+# A backlog is no burst after so long, and over once nobody has waited for so long.
 LASTING_S = 0.4
 REST_S = 1.0
 INTERVAL_GAIN = 0.1
