Exchange one request over the pool in one place

The store's client and the engines' orders each had the same steps: take a connection, send, read head and body, give it back, within a time limit. Both call ConnectionPool.exchange now. No change of behaviour.

--- a/src/cicadatiller/egress/_pool.py
+++ b/src/cicadatiller/egress/_pool.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from ._connection import ConnectionLostError, EgressConnection, open_connection
+from ._connection import ConnectionLostError, EgressConnection, ResponseHead, open_connection
 from ._dial import DialTimer
 from ._silence import SilenceTiming
 
@@ -87,6 +87,24 @@
         self.dials.note_opened(loop.time() - began_s)
         return connection
 
+    async def exchange(
+        self, address: str, request: bytes, *, timeout_s: float, max_answer_bytes: int
+    ) -> tuple[ResponseHead, bytes]:
+        """Send one request and return the whole answer.
+
+        Raises:
+            EgressError: If no whole answer comes.
+            TimeoutError: If it does not come in time.
+        """
+        async with asyncio.timeout(timeout_s):
+            connection = await self.take(address)
+            try:
+                connection.start(request)
+                head = await connection.read_head()
+                return head, await connection.read_whole_body(max_answer_bytes)
+            finally:
+                self.give_back(connection)
+
     def give_back(self, connection: EgressConnection) -> None:
         """End the exchange on a connection and keep it if it may be used again."""
         if connection.finish():
--- a/src/cicadatiller/platform/_log.py
+++ b/src/cicadatiller/platform/_log.py
@@ -1,6 +1,5 @@
 """The platform's store: its log, read and written over HTTP/1.1."""
 
-import asyncio
 import base64
 import json
 from urllib.parse import urlencode
@@ -116,14 +115,12 @@
         target = f"{path}?{urlencode(query)}".encode()
         request = render_request(method, target, [(b"Host", self._address.encode())], body)
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
-                connection = await self._pool.take(self._address)
-                try:
-                    connection.start(request)
-                    head = await connection.read_head()
-                    answer = await connection.read_whole_body(MAX_ANSWER_BYTES)
-                finally:
-                    self._pool.give_back(connection)
+            head, answer = await self._pool.exchange(
+                self._address,
+                request,
+                timeout_s=CALL_TIMEOUT_S + wait_s,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+            )
         except (EgressError, TimeoutError) as error:
             # The other connections may have fallen silent with this one.
             self._pool.drop(self._address)
--- a/src/cicadatiller/platform/_orders.py
+++ b/src/cicadatiller/platform/_orders.py
@@ -1,6 +1,5 @@
 """Orders to engines, as the platform's engines take them."""
 
-import asyncio
 import json
 
 from ..egress import ConnectionPool, EgressError, render_request
@@ -76,14 +75,9 @@
             headers.append((b"Content-Type", b"application/json"))
         request = render_request(method, target, headers, body)
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                connection = await self._pool.take(address)
-                try:
-                    connection.start(request)
-                    head = await connection.read_head()
-                    answer = await connection.read_whole_body(MAX_ANSWER_BYTES)
-                finally:
-                    self._pool.give_back(connection)
+            head, answer = await self._pool.exchange(
+                address, request, timeout_s=CALL_TIMEOUT_S, max_answer_bytes=MAX_ANSWER_BYTES
+            )
         except (EgressError, TimeoutError):
             return None
         return head.status, answer
