Work out what placing weighs once

The most that a pass reads was worked out anew for every weighing, by a function whose other branch its only caller never took; the cost of reading at each target was worked out once to rank and again to choose the host, beside a parameter that nothing read. An empty demand replaces None.

--- a/src/cicadatiller/placement/_engine.py
+++ b/src/cicadatiller/placement/_engine.py
@@ -31,16 +31,6 @@
     return tokens * step_s(model, writers, context_tokens)
 
 
-def longest_read_in_pass_s(model: EngineModel, read_s: float, tokens: int) -> float:
-    """Return how much of a read falls into one pass at most.
-
-    Args:
-        model: The engine.
-        read_s: The time of the whole read.
-        tokens: The tokens that it reads.
-    """
-    most_tokens = model.steps_per_pass * model.chunk_tokens
-    if tokens <= most_tokens:
-        return read_s
-    # The last pass is the longest, as each token is compared with all those before it.
-    return min(read_s, 2 * read_s * most_tokens / tokens)
+def most_read_in_pass_s(model: EngineModel) -> float:
+    """Return the longest time that one pass spends on reading prompts."""
+    return read_s(model, model.steps_per_pass * model.chunk_tokens)
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -13,7 +13,7 @@
 from ..routes import EngineModel
 from ._board import TargetLoad
 from ._demand import SHORT_GAP_PASSES, Demand
-from ._engine import longest_read_in_pass_s, pass_s, read_s
+from ._engine import most_read_in_pass_s, pass_s, read_s
 from ._prompt import Prompt
 
 MAX_HELPERS = 16
@@ -45,6 +45,8 @@
 READ_PRICE = 3.0
 FULL_READ_LOAD = 1.0
 
+NOTHING_EXPECTED = Demand()
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
@@ -155,7 +157,7 @@
     now_s: float,
     *,
     ticket_risk: float = 0.0,
-    demand: Demand | None = None,
+    demand: Demand = NOTHING_EXPECTED,
 ) -> Placing | None:
     """Choose the targets of a prompt; None if none has room for it now.
 
@@ -165,11 +167,10 @@
         model: How fast they are.
         now_s: The time.
         ticket_risk: The chance that a reservation fails.
-        demand: The streams with short gaps that are expected; None if none are.
+        demand: The streams with short gaps that are expected.
     """
     views = [_View(candidate, model, now_s) for candidate in candidates]
-    if demand is not None:
-        _expect(demand, views, model)
+    _expect(demand, views, model)
     total_s = read_s(model, prompt.tokens)
     best: Placing | None = None
     for size in _gang_sizes(prompt, len(views)):
@@ -201,6 +202,7 @@
         self.free_kv_tokens = int(model.kv_capacity_tokens * KV_USABLE_SHARE) - load.kv_tokens
         self.wait_s = load.read_wait_s(now_s)
         self.pass_s = load.pace * pass_s(model, len(self.writers), load.context_tokens)
+        self.most_read_in_pass_s = most_read_in_pass_s(model)
         self.pause_s = self.pass_s + self._longest_in_pass(self.wait_s)
         # What comes to this target in a second that a long read would make late, and its gap.
         self.expected_worth_per_s = 0.0
@@ -233,12 +235,7 @@
         return self.wait_s + (self.pass_s / 2 if self.writers else 0.0)
 
     def _longest_in_pass(self, reading_s: float) -> float:
-        model = self.model
-        most_tokens = model.steps_per_pass * model.chunk_tokens
-        # The most that one pass reads of prompts that are long, with the pairs of the last part.
-        return min(
-            reading_s, longest_read_in_pass_s(model, read_s(model, most_tokens), most_tokens)
-        )
+        return min(reading_s, self.most_read_in_pass_s)
 
 
 def _expect(demand: Demand, views: list[_View], model: EngineModel) -> None:
@@ -266,8 +263,9 @@
     ticket_risk: float,
 ) -> Placing | None:
     part_s = total_s / size
-    ranked = sorted(views, key=lambda view: _reading_cost(view, prompt, part_s, size))
-    host = _best_host(prompt, views, ranked, part_s, size)
+    costs = {view.target_id: _reading_cost(view, prompt, part_s) for view in views}
+    ranked = sorted(views, key=lambda view: costs[view.target_id])
+    host = _best_host(prompt, views, costs, size)
     if host is None:
         return None
     helpers = [view for view in ranked if view is not host and view.may_help][: size - 1]
@@ -300,23 +298,27 @@
     )
 
 
-def _reading_cost(view: _View, prompt: Prompt, part_s: float, size: int) -> float:
+def _reading_cost(view: _View, prompt: Prompt, part_s: float) -> float:
     ends_s = view.begins_in() + part_s * view.load.pace
     late = late_chance(ends_s, prompt.due_in_s)
     return view.harm(part_s) + prompt.worth * (late + FINISH_WEIGHT * ends_s / _scale(prompt))
 
 
 def _best_host(
-    prompt: Prompt, views: list[_View], ranked: list[_View], part_s: float, size: int
+    prompt: Prompt, views: list[_View], costs: dict[str, float], size: int
 ) -> _View | None:
-    """Choose the target that writes; a prompt that is read alone is read there too."""
+    """Choose the target that writes; a prompt that is read alone is read there too.
+
+    Args:
+        prompt: What is to be placed.
+        views: The targets.
+        costs: What speaks against reading a part, by target.
+        size: How many targets read.
+    """
     fitting = [view for view in views if view.may_host and _fits(prompt, view, size)]
     if not fitting:
         return None
-    return min(
-        fitting,
-        key=lambda view: _reading_cost(view, prompt, part_s, size) + _hosting_cost(view, prompt),
-    )
+    return min(fitting, key=lambda view: costs[view.target_id] + _hosting_cost(view, prompt))
 
 
 def _fits(prompt: Prompt, view: _View, size: int) -> bool:
