--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -255,9 +255,10 @@
         elif not self._has_slot(pool, service.engine):
             grant = None
         else:
-            placing = self._choose(waiter, service.engine, pool, now_s)
+            prompt = with_time_left(waiter, now_s)
+            placing = self._choose(waiter, prompt, service.engine, pool, now_s)
             if placing is not None:
-                return self._settle(waiter, placing, service.engine, pool, now_s)
+                return self._settle(waiter, prompt, placing, service.engine, pool, now_s)
             grant = None
         if grant is None and waiter.only is None:
             self._wait_for_room(waiter, ahead, now_s)
@@ -326,9 +327,13 @@
         return self._grant(Grant(work_id=work.work_id, host=host), (work,))
 
     def _choose(
-        self, waiter: Waiter, model: EngineModel, pool: list[Target], now_s: float
+        self,
+        waiter: Waiter,
+        prompt: Prompt,
+        model: EngineModel,
+        pool: list[Target],
+        now_s: float,
     ) -> Placing | None:
-        prompt = with_time_left(waiter, now_s)
         candidates = [
             Candidate(
                 target_id=target.instance_id,
@@ -351,12 +356,12 @@
     def _settle(
         self,
         waiter: Waiter,
+        prompt: Prompt,
         placing: Placing,
         model: EngineModel,
         pool: list[Target],
         now_s: float,
     ) -> Grant | None:
-        prompt = with_time_left(waiter, now_s)
         verdict = self._judge(waiter, placing, prompt, model, now_s)
         if verdict is Verdict.REFUSE:
             raise self._refusal(waiter, explain_refusal(placing, prompt))
--- a/src/cicadatiller/gateway/_team.py
+++ b/src/cicadatiller/gateway/_team.py
@@ -51,7 +51,6 @@
         followers: Mapping[Topic, TopicFollower],
         on_change: Callable[[], None],
     ) -> None:
-        self._owner = greeting.name
         self._board = board
         self._directory = directory
         self._budget = budget
@@ -60,7 +59,6 @@
         self._loop = asyncio.get_running_loop()
         self._own: dict[str, tuple[Work, ...]] = {}
         self._theirs: dict[str, dict[str, tuple[str, ...]]] = {}
-        self._peer_offsets: dict[str, Mapping[str, int]] = {}
         self._added: list[WorkShare] = []
         self._begun: list[str] = []
         self._ended: list[str] = []
@@ -145,7 +143,6 @@
         for news in update.news:
             self._take_news(news)
         if update.known_offsets is not None:
-            self._peer_offsets[name] = update.known_offsets
             self._help_behind(update.known_offsets)
         self._budget.entries = 1 + len(self.mesh.heard_peers)
         self._on_change()
@@ -159,7 +156,6 @@
             self._forget_as_it_ends(name)
         else:
             self._forget(name, self._loop.time())
-        self._peer_offsets.pop(name, None)
         self._budget.forget_peer(name)
         self._budget.entries = 1 + len(self.mesh.heard_peers)
         self._on_change()
