--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -10,9 +10,11 @@
     StoreUnavailableError,
     Topic,
 )
+from ._subset import SHARING_ENTRIES, TargetSubset, ring_order
 from ._target import TargetRecord, TargetState
 
 __all__ = [
+    "SHARING_ENTRIES",
     "Breaker",
     "HasBreaker",
     "HistoryLostError",
@@ -24,8 +26,10 @@
     "TargetDirectory",
     "TargetRecord",
     "TargetState",
+    "TargetSubset",
     "Topic",
     "eject_failing",
     "eject_slow",
+    "ring_order",
     "usable_targets",
 ]
--- a/src/cicadatiller/fleet/_directory.py
+++ b/src/cicadatiller/fleet/_directory.py
@@ -46,9 +46,14 @@
 
 
 class TargetDirectory:
-    """The known targets by instance id."""
+    """The known targets by instance id.
+
+    Attributes:
+        revision: Changes whenever a target is added, updated or removed.
+    """
 
     def __init__(self) -> None:
+        self.revision = 0
         self._targets: dict[str, Target] = {}
 
     def find(self, instance_id: str) -> Target | None:
@@ -78,11 +83,14 @@
         """Add or update a target's registration; return whether it is a new run."""
         known = self._targets.get(record.instance_id)
         if known is None or known.record.started_ms != record.started_ms:
+            self.revision += 1
             self._targets[record.instance_id] = Target(record=record)
             log_event(Event.INSTANCE_SEEN, name=record.instance_id, address=record.address)
             return True
         if known.record.state is not record.state:
             log_event(Event.TARGET_LEAVING, name=record.instance_id)
+        if known.record != record:
+            self.revision += 1
         known.record = record
         return False
 
@@ -90,5 +98,6 @@
         """Remove a target; return whether it was known."""
         if self._targets.pop(instance_id, None) is None:
             return False
+        self.revision += 1
         log_event(Event.INSTANCE_GONE, name=instance_id, reason=reason)
         return True
--- a/src/cicadatiller/fleet/_store.py
+++ b/src/cicadatiller/fleet/_store.py
@@ -65,5 +65,5 @@
             HistoryLostError: If some of these records are no longer retained.
         """
 
-    async def put(self, topic: Topic, key: str, value: bytes | None) -> None:
-        """Append a record; None removes the key."""
+    async def put(self, topic: Topic, key: str, value: bytes | None) -> int:
+        """Append a record and return its offset; a value of None removes the key."""
--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 from ..fleet import (
@@ -18,7 +19,9 @@
 FIRST_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
 RETRY_JITTER = 0.3
-READ_JITTER_S = 0.25
+READ_JITTER = 0.5
+# The removals that are kept for peers that are behind.
+MAX_REMOVALS = 1024
 # Without a successful read by any entry for this time, the store counts as having had an outage.
 OUTAGE_S = 1.5
 # Registrations of targets that expired during an outage are renewed within about two seconds of
@@ -47,6 +50,19 @@
         """
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CatchUpPage:
+    """Records for an entry that is behind.
+
+    Attributes:
+        page: The newest record of each key that changed, or of every key, and removals.
+        is_complete: Whether `page` has the newest record of every key.
+    """
+
+    page: KeyedPage
+    is_complete: bool
+
+
 class TopicFollower:
     """Reads new records of one topic, unless a peer has just read and sent them.
 
@@ -73,7 +89,7 @@
         sink: TopicSink,
         wait_s: float = 0.0,
         interval_s: float = 0.0,
-        on_read: Callable[[Topic, int, KeyedPage], None],
+        on_read: Callable[[Topic, int, KeyedPage], None] = lambda topic, from_offset, page: None,
         on_change: Callable[[], None],
         on_store_recovered: Callable[[], None] = lambda: None,
     ) -> None:
@@ -88,8 +104,12 @@
         self._on_store_recovered = on_store_recovered
         self._loop = asyncio.get_running_loop()
         self._newest: dict[str, KeyedRecord] = {}
+        self._removals: dict[str, KeyedRecord] = {}
+        # Removals before this offset are no longer known.
+        self._removals_from_offset = 0
+        self._read_due_s = float("inf")
+        self._awaited_offset = 0
         self._last_read_s = self._loop.time()
-        self._last_change_s = self._loop.time()
         self._failures = 0
         self._last_recovery_s = float("-inf")
         self._wake_up = asyncio.Event()
@@ -116,41 +136,79 @@
         if self._read_timeout is not None and not self._read_timeout.expired():
             self._read_timeout.reschedule(self._loop.time())
 
-    def newest(self) -> KeyedPage:
-        """Return the newest record of each key."""
-        records = sorted(self._newest.values(), key=lambda record: record.offset)
-        return KeyedPage(records=tuple(records), next_offset=self.next_offset or 0)
+    def read_within(self, delay_s: float, *, end_offset: int) -> None:
+        """Read the topic after a delay, unless the records before `end_offset` are known by then.
 
-    def unchanged_for_s(self) -> float:
-        """Return the time since a record was last applied."""
-        return self._loop.time() - self._last_change_s
+        Args:
+            delay_s: The delay.
+            end_offset: The store has records up to this offset.
+        """
+        if self.next_offset is None or self.next_offset < end_offset:
+            self._awaited_offset = end_offset
+            self._read_due_s = self._loop.time() + delay_s
+            self._wake_up.set()
 
-    def apply_from_peer(self, from_offset: int | None, page: KeyedPage) -> None:
-        """Apply records that a peer read.
+    def page_since(self, offset: int, *, max_bytes: int) -> CatchUpPage | None:
+        """Return what an entry lacks that has read up to `offset`; None if it lacks nothing.
 
-        Records after a gap are ignored; the gap is closed by this entry's next read, or by a page
-        with the newest record of each key.
+        Args:
+            offset: The entry's next offset; 0 if it has read nothing.
+            max_bytes: The size of the values after which a page ends, unless it is complete.
+        """
+        if self.next_offset is None or offset >= self.next_offset:
+            return None
+        if 0 < offset < self._removals_from_offset:
+            return CatchUpPage(page=self._page(self._newest.values()), is_complete=True)
+        changed = [r for r in self._newest.values() if r.offset >= offset]
+        changed += [r for r in self._removals.values() if r.offset >= offset]
+        changed.sort(key=lambda record: record.offset)
+        size_bytes = 0
+        for count, record in enumerate(changed, 1):
+            size_bytes += len(record.value or b"")
+            if size_bytes >= max_bytes and count < len(changed):
+                part = KeyedPage(records=tuple(changed[:count]), next_offset=record.offset + 1)
+                return CatchUpPage(page=part, is_complete=False)
+        return CatchUpPage(page=self._page(changed), is_complete=False)
+
+    def apply_catch_up(self, page: KeyedPage, *, is_complete: bool) -> None:
+        """Apply the records with which a peer brought this entry up to date.
+
+        They do not count as a read of the store, as the peer may have read them long ago.
 
         Args:
-            from_offset: First offset of the peer's read; None if the page has the newest record of
-                each key.
             page: The records.
+            is_complete: Whether `page` has the newest record of every key.
         """
-        if from_offset is None:
-            if self.next_offset is None or page.next_offset > self.next_offset:
-                log_event(Event.CONFIG_FROM_PEER, topic=self._topic.value, offset=page.next_offset)
-                self._replace(page)
+        if page.next_offset <= (self.next_offset or 0):
             return
+        if is_complete:
+            self._replace(page)
+        else:
+            self._apply(page)
+
+    def apply_read_of_peer(self, from_offset: int, page: KeyedPage) -> None:
+        """Apply records that a peer has just read from the store.
+
+        Records after a gap are ignored; the gap is closed by this entry's next read or by
+        `apply_catch_up`.
+
+        Args:
+            from_offset: The first offset of the peer's read.
+            page: The records.
+        """
         if self.next_offset is None or from_offset > self.next_offset:
             return
+        self._record_read()
         self._apply(page)
 
     async def _wait_until_due(self) -> None:
         if self.next_offset is None or self._interval_s == 0:
             return
-        jitter_s = random.uniform(0, READ_JITTER_S)
+        interval_s = self._interval_s * random.uniform(1.0, 1.0 + READ_JITTER)
         while True:
-            due_s = self._last_read_s + self._interval_s + jitter_s
+            if self.next_offset >= self._awaited_offset:
+                self._read_due_s = float("inf")
+            due_s = min(self._last_read_s + interval_s, self._read_due_s)
             remaining_s = due_s - self._loop.time()
             if remaining_s <= 0:
                 return
@@ -185,16 +243,17 @@
             await self._read_newest()
             return
         self._record_success()
+        self._record_read()
         self._apply(page)
         self._on_read(self._topic, from_offset, page)
 
     async def _read_newest(self) -> None:
         page = await self._log.read_newest(self._topic)
         self._record_success()
+        self._record_read()
         self._replace(page)
 
     def _apply(self, page: KeyedPage) -> None:
-        self._record_read()
         grace_s = self._grace_s()
         known = self.next_offset or 0
         for record in page.records:
@@ -202,15 +261,14 @@
                 continue
             self._update_newest(record)
             self._sink.apply(record, grace_s=grace_s)
-            self._last_change_s = self._last_read_s
         self.next_offset = max(known, page.next_offset)
         if page.records:
             self._on_change()
 
     def _replace(self, page: KeyedPage) -> None:
-        self._record_read()
-        self._last_change_s = self._last_read_s
         self._newest = {record.key: record for record in page.records if record.value is not None}
+        self._removals.clear()
+        self._removals_from_offset = page.next_offset
         self._sink.replace(page, grace_s=self._grace_s())
         self.next_offset = max(self.next_offset or 0, page.next_offset)
         self._on_change()
@@ -225,13 +283,23 @@
 
     def _grace_s(self) -> float:
         """Return the time for which a key that is removed now may still be written again."""
-        return max(0.0, self._last_recovery_s + REMOVAL_GRACE_S - self._last_read_s)
+        return max(0.0, self._last_recovery_s + REMOVAL_GRACE_S - self._loop.time())
 
     def _update_newest(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            self._newest.pop(record.key, None)
-        else:
+        if record.value is not None:
+            self._removals.pop(record.key, None)
             self._newest[record.key] = record
+            return
+        self._newest.pop(record.key, None)
+        self._removals.pop(record.key, None)
+        self._removals[record.key] = record
+        if len(self._removals) > MAX_REMOVALS:
+            oldest = self._removals.pop(next(iter(self._removals)))
+            self._removals_from_offset = max(self._removals_from_offset, oldest.offset + 1)
+
+    def _page(self, records: Iterable[KeyedRecord]) -> KeyedPage:
+        ordered = sorted(records, key=lambda record: record.offset)
+        return KeyedPage(records=tuple(ordered), next_offset=self.next_offset or 0)
 
     def _retry_delay_s(self) -> float:
         delay_s: float = FIRST_RETRY_DELAY_S * 2.0 ** (self._failures - 1)
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -12,16 +12,18 @@
     StoreRecord,
     TargetFailure,
     TargetPace,
+    TopicPage,
+    TopicRequest,
     TopicUpdate,
     Update,
     WorkShare,
 )
 from ..peer import Transport
 from ..placement import LoadBoard, Work
+from ._catch_up import REPLY_TIMEOUT_S, CatchUp, answer_request
 from ._followers import TopicFollower
 from ._retry_budget import RetryBudget
 
-SHARE_DELAY_S = 0.3
 MAX_UNRESPONSIVE_PEER_WORK_S = 10.0
 
 
@@ -41,6 +43,7 @@
         budget: The retry budget.
         followers: The followers of the topics whose records are shared with peers.
         on_change: Called after peers' work was added or removed.
+        on_peer_given_up: Called with the name of a peer that could not be reached for long.
 
     Attributes:
         mesh: The links to the peers.
@@ -57,12 +60,14 @@
         budget: RetryBudget,
         followers: Mapping[Topic, TopicFollower],
         on_change: Callable[[], None],
+        on_peer_given_up: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._board = board
         self._directory = directory
         self._budget = budget
         self._followers = followers
         self._on_change = on_change
+        self._on_peer_given_up = on_peer_given_up
         self._loop = asyncio.get_running_loop()
         self._own_works: dict[str, tuple[Work, ...]] = {}
         self._peer_target_ids: dict[str, dict[str, tuple[str, ...]]] = {}
@@ -72,8 +77,10 @@
         self._pending_topic_updates: list[TopicUpdate] = []
         self._pending_failures: list[TargetFailure] = []
         self._pending_paces: list[TargetPace] = []
+        self._has_new_offsets = False
         self._flush_handle: asyncio.Handle | None = None
         self.mesh = Mesh(greeting=greeting, transport=transport, listener=self, tasks=tasks)
+        self._catch_up = CatchUp(followers=followers, request=self._request_page, tasks=tasks)
 
     def work_added(self, works: tuple[Work, ...]) -> None:
         """Announce to the peers that a request was placed."""
@@ -104,10 +111,23 @@
         self._schedule_flush()
 
     def topic_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
-        """Send to the peers the records that this entry read from the store."""
+        """Send to the peers the records that this entry read, so that they need not read them."""
         self._pending_topic_updates.append(_to_topic_update(topic, from_offset, page))
         self._schedule_flush()
 
+    def offsets_changed(self) -> None:
+        """Announce to the peers how far this entry has read, without the records."""
+        self._has_new_offsets = True
+        self._schedule_flush()
+
+    def topic_page(self, request: TopicRequest) -> TopicPage | None:
+        """Return the reply to a peer's request; None if this entry has nothing newer."""
+        return answer_request(self._followers, request)
+
+    def peer_given_up(self, name: str) -> None:
+        """Handle a peer that could not be reached for long."""
+        self._on_peer_given_up(name)
+
     def snapshot(self) -> Update:
         """Return the full state, which is sent first on each new link."""
         works = [self._to_share(work) for group in self._own_works.values() for work in group]
@@ -150,8 +170,8 @@
         for news in update.news:
             self._apply_topic_update(news)
         if update.known_offsets is not None:
-            self._update_lagging_peer(update.known_offsets)
-        self._budget.entries = 1 + len(self.mesh.connected_peers)
+            self._catch_up.record_offsets(name, update.known_offsets)
+        self._budget.connected_entries = 1 + len(self.mesh.connected_peers)
         self._on_change()
 
     def peer_lost(self, name: str, *, timed_out: bool) -> None:
@@ -166,7 +186,8 @@
         else:
             self._drop_peer_works(name, self._loop.time())
         self._budget.forget_peer(name)
-        self._budget.entries = 1 + len(self.mesh.connected_peers)
+        self._catch_up.forget_peer(name)
+        self._budget.connected_entries = 1 + len(self.mesh.connected_peers)
         self._on_change()
 
     def _drop_peer_works_when_due(self, name: str) -> None:
@@ -207,32 +228,24 @@
             target.breaker.record_peer_failure(name, now_s)
 
     def _apply_topic_update(self, news: TopicUpdate) -> None:
-        """Apply `news`, the records of one topic that a peer read."""
-        follower = self._followers.get(Topic(news.topic))
-        if follower is not None:
-            page = KeyedPage(
-                records=tuple(
-                    KeyedRecord(offset=r.offset, key=r.key, value=r.value) for r in news.records
-                ),
-                next_offset=news.next_offset,
-            )
-            follower.apply_from_peer(news.from_offset, page)
-
-    def _update_lagging_peer(self, offsets: Mapping[str, int]) -> None:
-        """Send the newest records of each topic in which a peer is behind this entry.
-
-        Covers peers that can't read the store and updates that a peer missed; as every update, the
-        records go to all peers. Topics that changed within `SHARE_DELAY_S` are left out, as the
-        update may still be on its way.
-        """
-        for topic, follower in self._followers.items():
-            known = follower.next_offset
-            if known is None or offsets.get(topic.value, -1) >= known:
-                continue
-            if follower.unchanged_for_s() < SHARE_DELAY_S:
-                continue
-            self._pending_topic_updates.append(_to_topic_update(topic, None, follower.newest()))
-            self._schedule_flush()
+        """Apply `news`, the records of one topic that a peer read; unknown topics are ignored."""
+        by_name = {topic.value: follower for topic, follower in self._followers.items()}
+        follower = by_name.get(news.topic)
+        if follower is None:
+            return
+        page = KeyedPage(
+            records=tuple(
+                KeyedRecord(offset=r.offset, key=r.key, value=r.value) for r in news.records
+            ),
+            next_offset=news.next_offset,
+        )
+        if news.from_offset is None:
+            follower.apply_catch_up(page, is_complete=True)
+        else:
+            follower.apply_read_of_peer(news.from_offset, page)
+
+    async def _request_page(self, peer: str, request: TopicRequest) -> TopicPage | None:
+        return await self.mesh.request(peer, request, timeout_s=REPLY_TIMEOUT_S)
 
     def _drop_peer_works(self, name: str, now_s: float) -> None:
         for work_id, target_ids in self._peer_target_ids.pop(name, {}).items():
@@ -275,13 +288,15 @@
             news=tuple(self._pending_topic_updates),
             failures=tuple(self._pending_failures),
             paces=tuple(self._pending_paces),
+            known_offsets=self.known_offsets() if self._has_new_offsets else None,
         )
+        self._has_new_offsets = False
         self._pending_added, self._pending_begun, self._pending_ended = [], [], []
         self._pending_topic_updates, self._pending_failures, self._pending_paces = [], [], []
         self.mesh.broadcast(update)
 
 
-def _to_topic_update(topic: Topic, from_offset: int | None, page: KeyedPage) -> TopicUpdate:
+def _to_topic_update(topic: Topic, from_offset: int, page: KeyedPage) -> TopicUpdate:
     return TopicUpdate(
         topic=topic.value,
         from_offset=from_offset,
--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -22,7 +22,8 @@
         orders: Fetches the reports.
         tasks: Runs the calls.
         is_engine: Returns whether the targets of a service are engines.
-        peers: Returns the names of the connected peers.
+        users: Returns the names of the connected entries that use a target, this one included, from
+            the target's id.
         on_pace: Called with the instance id and the pace of an engine that reported.
         on_unresponsive: Called with an engine that did not report.
     """
@@ -35,7 +36,7 @@
         orders: EngineClient,
         tasks: TaskSet,
         is_engine: Callable[[str], bool],
-        peers: Callable[[], Iterable[str]],
+        users: Callable[[str], Iterable[str]],
         on_pace: Callable[[str, float], None],
         on_unresponsive: Callable[[Target], None],
     ) -> None:
@@ -44,7 +45,7 @@
         self._orders = orders
         self._tasks = tasks
         self._is_engine = is_engine
-        self._peers = peers
+        self._users = users
         self._on_pace = on_pace
         self._on_unresponsive = on_unresponsive
         self._pending_checks: dict[str, asyncio.Task[bool]] = {}
@@ -79,19 +80,21 @@
         return True
 
     def _assigned_targets(self) -> list[Target]:
-        entries = [self._name, *self._peers()]
         return [
             target
             for target in self._directory.targets()
             if target.accepts_work
             and not target.breaker.is_unreachable
             and self._is_engine(target.record.service)
-            and self._name == _responsible_entry(target, entries)
+            and self._name == self._responsible_entry(target)
         ]
 
+    def _responsible_entry(self, target: Target) -> str:
+        return max(
+            self._users(target.instance_id),
+            key=lambda name: rendezvous_weight(name, target.instance_id),
+            default="",
+        )
+
     async def _probe(self, target: Target) -> None:
         await self.is_alive(target)
-
-
-def _responsible_entry(target: Target, entries: list[str]) -> str:
-    return max(entries, key=lambda entry: rendezvous_weight(entry, target.instance_id))
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -4,10 +4,10 @@
 import random
 
 from ..egress import ConnectionPool
-from ..fleet import KeyedLog, KeyedPage, Target, TargetDirectory, Topic
+from ..fleet import KeyedLog, KeyedPage, Target, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
-from ..mesh import Greeting
+from ..mesh import COMPACT_PROTOCOL, Greeting
 from ..peer import Transport, split_address
 from ..placement import LoadBoard
 from ..routes import RouteTable, Service
@@ -16,7 +16,7 @@
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
 from ._handler import RequestHandler
-from ._members import Membership
+from ._members import Membership, MemberSink
 from ._metrics import GatewayMetrics
 from ._node import NodeSettings
 from ._orders import EngineClient
@@ -34,9 +34,11 @@
 from ._wire import WireCodec
 
 CONFIGURATION_LONG_POLL_S = 10.0
+# Peers announce how many registrations of entries they have read, so that few reads are needed.
+MEMBERS_READ_INTERVAL_S = 60.0
 SWEEP_INTERVAL_S = 1.0
 FIGURES_INTERVAL_S = 10.0
-OWNER_ID_DIGITS = 6
+RUN_ID_DIGITS = 6
 
 # The load balancer polls readiness once a second and removes an entry after two failed polls.
 BALANCER_DELAY_S = 2.5
@@ -84,6 +86,8 @@
         self._tasks = TaskSet()
         self.board = LoadBoard()
         self._directory = TargetDirectory()
+        self._subset = TargetSubset(name=node.name, directory=self._directory)
+        self._run_id = f"{node.name}-{new_incarnation()[:RUN_ID_DIGITS]}"
         self._metrics = GatewayMetrics()
         self._stall = StallWatch()
         self._synced = asyncio.Event()
@@ -98,11 +102,10 @@
         self._reservations = ReservationManager(
             orders=orders, bounds=node.bounds, tasks=self._tasks
         )
+        self._members = MemberSink(on_change=self._on_members_change)
         self._followers = self._make_followers(log, decoder)
         self.peer_sync = self._make_peer_sync(transport)
-        self._membership = Membership(
-            log=log, name=node.name, address=node.peer_address, mesh=self.peer_sync.mesh
-        )
+        self._membership = self._make_membership(log)
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
         self._prober = self._make_prober(orders)
         self._scheduler = self._make_scheduler()
@@ -214,8 +217,7 @@
                 topic=Topic.CONFIGURATION,
                 sink=self._configuration,
                 wait_s=CONFIGURATION_LONG_POLL_S,
-                on_read=self._share_read,
-                on_change=self._on_topic_change,
+                on_change=self._on_configuration_change,
             ),
             Topic.TARGETS: TopicFollower(
                 log=log,
@@ -226,13 +228,21 @@
                 on_change=self._on_topic_change,
                 on_store_recovered=lambda: self._followers[Topic.CONFIGURATION].renew_poll(),
             ),
+            Topic.MEMBERS: TopicFollower(
+                log=log,
+                topic=Topic.MEMBERS,
+                sink=self._members,
+                interval_s=MEMBERS_READ_INTERVAL_S,
+                on_change=lambda: self._membership.members_changed(),
+            ),
         }
 
     def _make_peer_sync(self, transport: Transport) -> PeerSync:
         greeting = Greeting(
             name=self._node.name,
-            incarnation=new_incarnation(),
+            incarnation=self._run_id,
             address=self._node.peer_address,
+            protocol=COMPACT_PROTOCOL,
         )
         return PeerSync(
             greeting=greeting,
@@ -243,6 +253,17 @@
             budget=self._budget,
             followers=self._followers,
             on_change=self._wake,
+            on_peer_given_up=self._remove_member,
+        )
+
+    def _make_membership(self, log: KeyedLog) -> Membership:
+        return Membership(
+            log=log,
+            name=self._node.name,
+            address=self._node.peer_address,
+            sink=self._members,
+            follower=self._followers[Topic.MEMBERS],
+            connected_peers=lambda: self.peer_sync.mesh.connected_peers,
         )
 
     def _make_prober(self, orders: EngineClient) -> EngineProber:
@@ -252,24 +273,23 @@
             orders=orders,
             tasks=self._tasks,
             is_engine=self._is_engine,
-            peers=lambda: self.peer_sync.mesh.connected_peers,
+            users=self._connected_users,
             on_pace=self._record_pace,
             on_unresponsive=self._record_unresponsive,
         )
 
     def _make_scheduler(self) -> Scheduler:
         return Scheduler(
-            owner=f"{self._node.name}-{new_incarnation()[:OWNER_ID_DIGITS]}",
+            owner=self._run_id,
             data_centre=self._node.data_centre,
-            directory=self._directory,
+            targets=self._subset.targets_of,
+            spare_targets=self._directory.targets_of,
             board=self.board,
             services=self._find_service,
             listener=self.peer_sync,
             reservation_risk=lambda: self._reservations.loss_rate,
             weights=self._settings.weights,
-            may_place=SlotArbiter(
-                name=self._node.name, peers=lambda: self.peer_sync.mesh.connected_peers
-            ).may_place,
+            may_place=SlotArbiter(name=self._node.name, users=self._connected_users).may_place,
         )
 
     def _make_handler(self, codec: WireCodec) -> RequestHandler:
@@ -296,6 +316,22 @@
     def _share_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
         self.peer_sync.topic_read(topic, from_offset, page)
 
+    def _connected_users(self, target_id: str) -> list[str]:
+        """Return the connected entries that use a target, this one included."""
+        entries = (self._node.name, *self.peer_sync.mesh.connected_peers)
+        return self._subset.users(target_id, entries)
+
+    def _on_members_change(self) -> None:
+        addresses = self._members.addresses
+        self._subset.set_entries(addresses)
+        self._budget.all_entries = len(self._subset.entries)
+        self.peer_sync.mesh.select_peers(
+            {name: addresses[name] for name in self._subset.peers if name in addresses}
+        )
+
+    def _remove_member(self, name: str) -> None:
+        self._tasks.start(self._membership.remove(name), name=f"remove {name}")
+
     def _record_target_failure(self, target: Target, outcome: AttemptOutcome) -> None:
         """Update the circuit breaker of a target after a failed attempt, and report it to peers.
 
@@ -347,6 +383,10 @@
             self._synced.set()
         self._wake()
 
+    def _on_configuration_change(self) -> None:
+        self.peer_sync.offsets_changed()
+        self._on_topic_change()
+
     def _wake(self) -> None:
         self._scheduler.wake()
 
--- a/src/cicadatiller/gateway/_retry_budget.py
+++ b/src/cicadatiller/gateway/_retry_budget.py
@@ -49,8 +49,10 @@
     """Limits the retries that all entries together send to a service.
 
     Within any window, retries may be at most `ratio` times the number of requests, plus `slack`.
-    Peers report their own counts. Between two reports, an entry spends at most `BURST_SHARE` of its
-    equal part, so that the entries together stay within the budget.
+    An entry lends and borrows among the peers that it is connected to, which report their own
+    counts: together they may use their part of the slack and what their requests allow. Between two
+    reports, an entry spends at most `BURST_SHARE` of its equal part, so that the entries together
+    stay within the budget.
 
     Args:
         ratio: Retries per request.
@@ -58,11 +60,13 @@
         window_s: Length of the window in which requests and retries are counted.
 
     Attributes:
-        entries: Number of entries that share the budget, including this one.
+        connected_entries: Number of entries that report their counts to this one, itself included.
+        all_entries: Number of entries of the fleet.
     """
 
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
-        self.entries = 1
+        self.connected_entries = 1
+        self.all_entries = 1
         self.set_limits(ratio=ratio, slack=slack, window_s=window_s)
         self._requests: dict[str, _SlidingWindowCounter] = defaultdict(_SlidingWindowCounter)
         self._retries: dict[str, _SlidingWindowCounter] = defaultdict(_SlidingWindowCounter)
@@ -98,12 +102,15 @@
         uses = [use[service] for use in self._peers.values() if service in use]
         requests = len(self._requests[service]) + sum(use.requests for use in uses)
         used = len(self._retries[service]) + sum(use.retries for use in uses)
-        limit = USABLE_SHARE * (self._ratio * requests + self._slack)
+        connected_share = min(1.0, self.connected_entries / self.all_entries)
+        limit = USABLE_SHARE * (self._ratio * requests + connected_share * self._slack)
         if used + 1 > limit:
             return False
         burst = self._retries[service].count_since(now_s - BURST_WINDOW_S)
-        if self.entries > 1 and burst + 1 > max(1.0, BURST_SHARE * limit / self.entries):
-            return False
+        if self.connected_entries > 1:
+            own_part = limit / self.connected_entries
+            if burst + 1 > max(1.0, BURST_SHARE * own_part):
+                return False
         self._retries[service].add(now_s)
         return True
 
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from ..fleet import Target, TargetDirectory, eject_failing, eject_slow, usable_targets
+from ..fleet import Target, eject_failing, eject_slow, usable_targets
 from ..kernel import ErrorKind, FailureError, fail
 from ..placement import (
     Backlog,
@@ -79,7 +79,9 @@
     Args:
         owner: Id of this run of the entry, unique in the fleet; prefixes its work ids.
         data_centre: Data centre of this entry.
-        directory: The known targets.
+        targets: Returns the targets of a service that this entry uses and that accept work.
+        spare_targets: Returns all targets of a service that accept work; used if none of the others
+            is left for a request.
         board: The load of each target.
         services: Looks up a service by name in the current configuration.
         listener: Receives the start, first event and end of each placed request.
@@ -94,7 +96,8 @@
         *,
         owner: str,
         data_centre: str,
-        directory: TargetDirectory,
+        targets: Callable[[str], list[Target]],
+        spare_targets: Callable[[str], list[Target]],
         board: LoadBoard,
         services: Callable[[str], Service | None],
         listener: WorkListener,
@@ -104,7 +107,8 @@
     ) -> None:
         self._owner = owner
         self._data_centre = data_centre
-        self._directory = directory
+        self._targets = targets
+        self._spare_targets = spare_targets
         self._board = board
         self._services = services
         self._listener = listener
@@ -276,7 +280,7 @@
 
     def _candidate_targets(self, waiter: Waiter, now_s: float) -> list[Target]:
         job = waiter.job
-        pool = self._directory.targets_of(job.service)
+        pool = self._targets(job.service) or self._spare_targets(job.service)
         if not pool:
             raise fail(
                 ErrorKind.NO_TARGET,
@@ -288,7 +292,8 @@
         usable = usable_targets(pool, now_s)
         untried = [target for target in usable if target.instance_id not in waiter.excluded]
         if not untried:
-            untried = [target for target in pool if target.instance_id not in waiter.excluded]
+            others = [*pool, *self._spare_targets(job.service)]
+            untried = [target for target in others if target.instance_id not in waiter.excluded]
         if not untried:
             raise fail(
                 ErrorKind.NO_TARGET,
@@ -426,7 +431,7 @@
         """Return the expected demand for a service, cached for `DEMAND_MAX_AGE_S`."""
         cached = self._demands.get(service)
         if cached is None or now_s - cached.computed_at_s >= DEMAND_MAX_AGE_S:
-            pool = self._directory.targets_of(service)
+            pool = self._targets(service)
             loads = [self._board.load(target.instance_id) for target in pool]
             waiting = [w.prompt for w in self._waiters if w.job.service == service and w.prompt]
             demand = expected_demand(loads, waiting, model, now_s)
@@ -452,7 +457,7 @@
         its end is refused again.
         """
         job = waiter.job
-        pool = self._directory.targets_of(job.service)
+        pool = self._targets(job.service)
         waits_s = [self._board.load(t.instance_id).prefill_wait_s(now_s) for t in pool]
         expected_s = max(
             statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S,
--- a/src/cicadatiller/gateway/_slot_arbiter.py
+++ b/src/cicadatiller/gateway/_slot_arbiter.py
@@ -18,12 +18,13 @@
 
     Args:
         name: Name of this entry.
-        peers: Returns the names of the connected peers.
+        users: Returns the names of the connected entries that use a target, this one included, from
+            the target's id.
     """
 
-    def __init__(self, *, name: str, peers: Callable[[], Sequence[str]]) -> None:
+    def __init__(self, *, name: str, users: Callable[[str], Sequence[str]]) -> None:
         self._name = name
-        self._peers = peers
+        self._users = users
 
     def may_place(self, target_id: str, load: TargetLoad, slots: int, now_s: float) -> bool:
         """Return whether this entry may place one more request on a target now.
@@ -36,12 +37,12 @@
         """
         if load.in_flight < slots - 1:
             return True
-        peers = self._peers()
+        users = self._users(target_id)
         freed_for_s = now_s - load.freed_by_peer_s
-        if freed_for_s >= len(peers) * TURN_DELAY_S:
+        if freed_for_s >= (len(users) - 1) * TURN_DELAY_S:
             return True
-        return freed_for_s >= self._rank(target_id, peers) * TURN_DELAY_S
+        return freed_for_s >= self._rank(target_id, users) * TURN_DELAY_S
 
-    def _rank(self, target_id: str, peers: Sequence[str]) -> int:
+    def _rank(self, target_id: str, users: Sequence[str]) -> int:
         own = rendezvous_weight(target_id, self._name)
-        return sum(rendezvous_weight(target_id, peer) > own for peer in peers)
+        return sum(rendezvous_weight(target_id, user) > own for user in users)
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -33,6 +33,7 @@
     REQUEST_ABANDONED = (212, "info", "A caller disconnected before the end of its response.")
     PEER_CONNECTED = (300, "info", "A peer connection was established.")
     PEER_LOST = (301, "warning", "A peer connection was lost or timed out.")
+    PEER_REMOVED = (303, "warning", "A peer that was unreachable for long was removed.")
     PEER_REFUSED = (302, "warning", "A peer was refused: wrong secret, version or frame.")
     TARGET_ATTACHED = (400, "info", "A sidecar connected to its target.")
     TARGET_LOST = (401, "warning", "A sidecar can't reach its target.")
--- a/src/cicadatiller/mesh/__init__.py
+++ b/src/cicadatiller/mesh/__init__.py
@@ -1,19 +1,26 @@
 """Links over which entries share their work in flight, store records and target failures."""
 
+from ._compact import compact, expand, pack_records, unpack_records
 from ._link import MeshTiming
 from ._mesh import Mesh, MeshListener
 from ._messages import (
+    COMPACT_PROTOCOL,
+    FIRST_PROTOCOL,
     Greeting,
     RetryUse,
     StoreRecord,
     TargetFailure,
     TargetPace,
+    TopicPage,
+    TopicRequest,
     TopicUpdate,
     Update,
     WorkShare,
 )
 
 __all__ = [
+    "COMPACT_PROTOCOL",
+    "FIRST_PROTOCOL",
     "Greeting",
     "Mesh",
     "MeshListener",
@@ -22,7 +29,13 @@
     "StoreRecord",
     "TargetFailure",
     "TargetPace",
+    "TopicPage",
+    "TopicRequest",
     "TopicUpdate",
     "Update",
     "WorkShare",
+    "compact",
+    "expand",
+    "pack_records",
+    "unpack_records",
 ]
--- /dev/null
+++ b/src/cicadatiller/mesh/_compact.py
@@ -0,0 +1,190 @@
+"""The compact form of updates: lists of whole numbers without field names.
+
+A request's load is announced to several peers three times, so the size of an update decides how
+many bytes pass between data centres. Times are sent in milliseconds and microseconds, and ids of
+work without the part that names the sender's process.
+"""
+
+import math
+import zlib
+from collections.abc import Iterable
+from typing import Any
+
+import cbor2
+
+from ._messages import (
+    RetryUse,
+    StoreRecord,
+    TargetFailure,
+    TargetPace,
+    TopicUpdate,
+    Update,
+    WorkShare,
+)
+
+FIELD_COUNT = 9
+MS_PER_S = 1_000
+US_PER_S = 1_000_000
+PACE_UNITS = 100
+WORTH_UNITS = 1_000
+WRITES_FLAG = 1
+BEGUN_FLAG = 2
+ZLIB_LEVEL = 1
+MAX_RECORDS_BYTES = 64 * 1024 * 1024
+
+
+def compact(update: Update, incarnation: str) -> list[Any]:
+    """Return the compact form of an update.
+
+    Args:
+        update: The update.
+        incarnation: The incarnation in the sender's greeting, with which its work ids begin.
+    """
+    prefix = f"{incarnation}-"
+    fields: list[Any] = [
+        int(update.is_snapshot),
+        [_share_row(share, prefix) for share in update.added],
+        [_short_id(work_id, prefix) for work_id in update.begun],
+        [_short_id(work_id, prefix) for work_id in update.ended],
+        [_topic_row(news) for news in update.news],
+        [[failure.target_id, int(failure.is_helper)] for failure in update.failures],
+        [[paced.target_id, round(paced.pace * PACE_UNITS)] for paced in update.paces],
+        [[use.service, use.requests, use.retries] for use in update.retries],
+        update.known_offsets,
+    ]
+    while fields[-1] in (None, []):
+        fields.pop()
+    return fields
+
+
+def expand(fields: list[Any], incarnation: str) -> Update:
+    """Return the update of a compact form.
+
+    Args:
+        fields: The compact form. Further fields of a newer version are ignored.
+        incarnation: The incarnation in the sender's greeting.
+
+    Raises:
+        ValueError: If it is malformed.
+    """
+    padded = [*fields, *[[]] * (FIELD_COUNT - len(fields))]
+    prefix = f"{incarnation}-"
+    try:
+        return Update(
+            is_snapshot=bool(padded[0]),
+            added=tuple(_to_share(row, prefix) for row in padded[1]),
+            begun=tuple(_full_id(short_id, prefix) for short_id in padded[2]),
+            ended=tuple(_full_id(short_id, prefix) for short_id in padded[3]),
+            news=tuple(_to_topic_update(row) for row in padded[4]),
+            failures=tuple(
+                TargetFailure(target_id=row[0], reason="", is_helper=bool(row[1]))
+                for row in padded[5]
+            ),
+            paces=tuple(
+                TargetPace(target_id=row[0], pace=row[1] / PACE_UNITS) for row in padded[6]
+            ),
+            retries=tuple(
+                RetryUse(service=row[0], requests=row[1], retries=row[2]) for row in padded[7]
+            ),
+            known_offsets=dict(padded[8]) if len(fields) >= FIELD_COUNT else None,
+        )
+    except (TypeError, IndexError, KeyError) as error:
+        raise ValueError(f"compact update is malformed: {error!r}") from error
+
+
+def pack_records(records: Iterable[StoreRecord]) -> bytes:
+    """Return records as compressed CBOR, as in `TopicPage.records`."""
+    return zlib.compress(cbor2.dumps([_record_row(record) for record in records]), ZLIB_LEVEL)
+
+
+def unpack_records(packed: bytes) -> tuple[StoreRecord, ...]:
+    """Return the records of `pack_records`.
+
+    Raises:
+        ValueError: If they are malformed or longer than `MAX_RECORDS_BYTES`.
+    """
+    if not packed:
+        return ()
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(packed, MAX_RECORDS_BYTES)
+        if not decompressor.eof:
+            raise ValueError("records are truncated or too long")
+        return tuple(_to_record(row) for row in cbor2.loads(data))
+    except (zlib.error, cbor2.CBORDecodeError, TypeError, IndexError) as error:
+        raise ValueError(f"records are malformed: {error!r}") from error
+
+
+def _short_id(work_id: str, prefix: str) -> int | str:
+    number = work_id.removeprefix(prefix)
+    return int(number) if number.isdigit() else work_id
+
+
+def _full_id(short_id: int | str, prefix: str) -> str:
+    return f"{prefix}{short_id}" if isinstance(short_id, int) else short_id
+
+
+def _share_row(share: WorkShare, prefix: str) -> list[Any]:
+    flags = WRITES_FLAG * share.writes + BEGUN_FLAG * share.has_begun
+    return [
+        _short_id(share.work_id, prefix),
+        share.target_id,
+        flags,
+        round(share.age_s * MS_PER_S),
+        round(share.read_s * US_PER_S),
+        share.read_tokens,
+        share.kv_tokens,
+        share.context_tokens,
+        _limit_ms(share.max_gap_s),
+        _limit_ms(share.due_in_s),
+        round(share.worth * WORTH_UNITS),
+        round(share.write_s * MS_PER_S),
+    ]
+
+
+def _to_share(row: list[Any], prefix: str) -> WorkShare:
+    return WorkShare(
+        work_id=_full_id(row[0], prefix),
+        target_id=row[1],
+        writes=bool(row[2] & WRITES_FLAG),
+        has_begun=bool(row[2] & BEGUN_FLAG),
+        age_s=row[3] / MS_PER_S,
+        read_s=row[4] / US_PER_S,
+        read_tokens=row[5],
+        kv_tokens=row[6],
+        context_tokens=row[7],
+        max_gap_s=_limit_s(row[8]),
+        due_in_s=_limit_s(row[9]),
+        worth=row[10] / WORTH_UNITS,
+        write_s=row[11] / MS_PER_S,
+    )
+
+
+def _limit_ms(limit_s: float) -> int | None:
+    return None if limit_s == math.inf else round(limit_s * MS_PER_S)
+
+
+def _limit_s(limit_ms: int | None) -> float:
+    return math.inf if limit_ms is None else limit_ms / MS_PER_S
+
+
+def _topic_row(news: TopicUpdate) -> list[Any]:
+    records = [_record_row(record) for record in news.records]
+    return [news.topic, news.next_offset, news.from_offset, records]
+
+
+def _to_topic_update(row: list[Any]) -> TopicUpdate:
+    return TopicUpdate(
+        topic=row[0],
+        next_offset=row[1],
+        from_offset=row[2],
+        records=tuple(_to_record(record_row) for record_row in row[3]),
+    )
+
+
+def _record_row(record: StoreRecord) -> list[Any]:
+    return [record.offset, record.key, record.value]
+
+
+def _to_record(row: list[Any]) -> StoreRecord:
+    return StoreRecord(offset=row[0], key=row[1], value=row[2])
--- a/src/cicadatiller/mesh/_link.py
+++ b/src/cicadatiller/mesh/_link.py
@@ -5,11 +5,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..kernel import Event, log_event
-from ..peer import Channel, ChannelClosedError, Transport, encode
-from ._messages import Greeting, Update
-
-MAX_QUEUED_FRAMES = 512
+from ..kernel import Event, FailureError, log_event
+from ..peer import Channel, ChannelClosedError, Transport, decode, encode
+from ._compact import compact
+from ._messages import (
+    COMPACT_PROTOCOL,
+    FIRST_PROTOCOL,
+    CompactUpdate,
+    Greeting,
+    HeartbeatAck,
+    TopicPage,
+    TopicRequest,
+    Update,
+)
+
+MAX_QUEUED_BYTES = 256 * 1024
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -34,8 +44,34 @@
     give_up_after_s: float = 60.0
 
 
+class UpdateFrames:
+    """Encodes an update once for all links that use the same version of the protocol.
+
+    Args:
+        update: The update.
+        incarnation: The incarnation in the sender's greeting.
+    """
+
+    def __init__(self, *, update: Update, incarnation: str) -> None:
+        self._update = update
+        self._incarnation = incarnation
+        self._frames: dict[bool, bytes] = {}
+
+    def for_protocol(self, protocol: int) -> bytes:
+        """Return the frame for a receiver that understands a version of the protocol."""
+        is_compact = protocol >= COMPACT_PROTOCOL
+        frame = self._frames.get(is_compact)
+        if frame is None:
+            frame = encode(self._compacted() if is_compact else self._update)
+            self._frames[is_compact] = frame
+        return frame
+
+    def _compacted(self) -> CompactUpdate:
+        return CompactUpdate(fields=compact(self._update, self._incarnation))
+
+
 class OutboundLink:
-    """Sends updates to one peer; `run` dials the peer and writes queued frames.
+    """Sends updates and requests to one peer; `run` dials it and writes queued frames.
 
     Args:
         address: The peer's address, "host:port".
@@ -44,6 +80,12 @@
         snapshot: Returns the full state for the peer; it is sent after the greeting.
         heartbeat: Returns the update that is sent as a heartbeat.
         timing: The heartbeat, timeout and redial intervals.
+
+    Attributes:
+        address: The peer's address.
+        is_up: Whether a channel is open.
+        protocol: The version of the protocol that the peer understands.
+        queued_bytes: The size of the frames that wait to be written.
     """
 
     def __init__(
@@ -58,6 +100,8 @@
     ) -> None:
         self.address = address
         self.is_up = False
+        self.protocol = FIRST_PROTOCOL
+        self.queued_bytes = 0
         self._transport = transport
         self._greeting = greeting
         self._snapshot = snapshot
@@ -66,18 +110,38 @@
         self._frames: list[bytes] = []
         self._has_frames = asyncio.Event()
         self._channel: Channel | None = None
+        self._replies: dict[str, asyncio.Future[TopicPage]] = {}
+
+    def send_update(self, frames: UpdateFrames) -> None:
+        """Queue an update for sending."""
+        if self.is_up:
+            self._enqueue(frames.for_protocol(self.protocol))
+
+    async def request(self, request: TopicRequest, *, timeout_s: float) -> TopicPage | None:
+        """Ask the peer for records; return None if it can't answer or does not in time."""
+        if not self.is_up or self.protocol < COMPACT_PROTOCOL or request.topic in self._replies:
+            return None
+        reply: asyncio.Future[TopicPage] = asyncio.get_running_loop().create_future()
+        self._replies[request.topic] = reply
+        self._enqueue(encode(request))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await reply
+        except TimeoutError:
+            return None
+        finally:
+            del self._replies[request.topic]
 
-    def enqueue(self, frame: bytes) -> None:
-        """Queue a frame for sending.
+    def _enqueue(self, frame: bytes) -> None:
+        """Queue a frame.
 
         A frame is dropped while the link is down, as the snapshot sent on reconnection covers it.
-        If more than `MAX_QUEUED_FRAMES` are queued, the channel is closed and dialled again.
+        If more than `MAX_QUEUED_BYTES` are queued, the channel is closed and dialled again.
         """
-        if not self.is_up:
-            return
         self._frames.append(frame)
+        self.queued_bytes += len(frame)
         self._has_frames.set()
-        if len(self._frames) > MAX_QUEUED_FRAMES and self._channel is not None:
+        if self.queued_bytes > MAX_QUEUED_BYTES and self._channel is not None:
             asyncio.get_running_loop().create_task(self._channel.close())
 
     async def run(self) -> None:
@@ -100,12 +164,14 @@
 
     async def _use_channel(self, channel: Channel) -> None:
         self._channel = channel
+        self.protocol = FIRST_PROTOCOL
         reader = asyncio.get_running_loop().create_task(self._read_replies(channel))
         try:
             await channel.send(encode(self._greeting))
             self._frames.clear()
+            self.queued_bytes = 0
             self.is_up = True
-            await channel.send(encode(self._snapshot()))
+            await channel.send(self._frame(self._snapshot()))
             log_event(Event.PEER_CONNECTED, peer=self.address)
             await self._send_frames(channel)
         except ChannelClosedError as error:
@@ -124,17 +190,31 @@
                     await self._has_frames.wait()
             except TimeoutError:
                 heartbeat_due_s = loop.time() + self._timing.heartbeat_s
-                await channel.send(encode(self._heartbeat()))
+                await channel.send(self._frame(self._heartbeat()))
             self._has_frames.clear()
             frames, self._frames = self._frames, []
             for frame in frames:
                 await channel.send(frame)
+                self.queued_bytes -= len(frame)
+
+    def _frame(self, update: Update) -> bytes:
+        frames = UpdateFrames(update=update, incarnation=self._greeting.incarnation)
+        return frames.for_protocol(self.protocol)
 
     async def _read_replies(self, channel: Channel) -> None:
         """Close the channel when the peer closes it or stops acknowledging heartbeats."""
         try:
             while True:
                 async with asyncio.timeout(self._timing.silence_s):
-                    await channel.receive()
-        except (ChannelClosedError, TimeoutError):
+                    reply = decode(await channel.receive())
+                if isinstance(reply, HeartbeatAck):
+                    self.protocol = reply.protocol
+                elif isinstance(reply, TopicPage):
+                    self._deliver(reply)
+        except (ChannelClosedError, FailureError, TimeoutError):
             await channel.close()
+
+    def _deliver(self, page: TopicPage) -> None:
+        waiting = self._replies.get(page.topic)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(page)
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -1,14 +1,27 @@
 """The links between one entry and its peers."""
 
 import asyncio
+from collections.abc import Mapping
 from typing import Protocol
 
 from ..kernel import Event, FailureError, TaskSet, log_event
 from ..peer import Channel, ChannelClosedError, Listener, Transport, decode, encode
-from ._link import MeshTiming, OutboundLink
-from ._messages import Greeting, HeartbeatAck, Update
-
-_HEARTBEAT_ACK = encode(HeartbeatAck())
+from ._compact import expand
+from ._link import MeshTiming, OutboundLink, UpdateFrames
+from ._messages import (
+    COMPACT_PROTOCOL,
+    CompactUpdate,
+    Greeting,
+    HeartbeatAck,
+    TopicPage,
+    TopicRequest,
+    Update,
+)
+
+_HEARTBEAT_ACK = encode(HeartbeatAck(protocol=COMPACT_PROTOCOL))
+# Entries learn of a change of the fleet at slightly different times. For this time an entry sends
+# its updates also to a peer that it does not share targets with, if that peer sends to it.
+UNSELECTED_LINK_S = 5.0
 
 
 class MeshListener(Protocol):
@@ -31,12 +44,19 @@
     def heartbeat(self) -> Update:
         """Return the update that is sent as a heartbeat."""
 
+    def topic_page(self, request: TopicRequest) -> TopicPage | None:
+        """Return the reply to a peer's request; None if this entry has nothing newer."""
+
+    def peer_given_up(self, name: str) -> None:
+        """Handle a selected peer that could not be reached for `give_up_after_s`."""
+
 
 class Mesh:
-    """Links to all known peers.
+    """Links to the selected peers.
 
-    Each entry dials every peer and sends updates only on the channels that it dialled. A pair of
-    entries thus has two channels and needs no rule for which side dials.
+    Each entry dials its peers and sends updates only on the channels that it dialled. A pair of
+    entries thus has two channels and needs no rule for which side dials. Requests are answered on
+    the channel that carried them, which has no other traffic in that direction but acknowledgements.
 
     Args:
         greeting: The first message on each outbound link; identifies this entry.
@@ -61,7 +81,10 @@
         self._tasks = tasks
         self._timing = timing or MeshTiming()
         self._links: dict[str, OutboundLink] = {}
+        self._link_tasks: dict[str, asyncio.Task[None]] = {}
+        self._selected: dict[str, str] = {}
         self._inbound: dict[str, Channel] = {}
+        self._inbound_greetings: dict[str, Greeting] = {}
         self._server: Listener | None = None
 
     @property
@@ -78,8 +101,44 @@
         if self._server is not None:
             await self._server.close()
 
-    def add_peer(self, address: str) -> None:
-        """Open an outbound link to a peer unless there is one already."""
+    @property
+    def queued_bytes(self) -> int:
+        """Return the size of the frames that wait to be written to peers."""
+        return sum(link.queued_bytes for link in self._links.values())
+
+    def select_peers(self, addresses: Mapping[str, str]) -> None:
+        """Open links to the peers that this entry shares targets with, and close other links.
+
+        Args:
+            addresses: The address of each such peer, "host:port", by name.
+        """
+        self._selected = {
+            address: name
+            for name, address in addresses.items()
+            if address != self._greeting.address
+        }
+        for address in self._selected:
+            self._open_link(address)
+        loop = asyncio.get_running_loop()
+        loop.call_later(UNSELECTED_LINK_S, self._close_unselected_links)
+
+    def broadcast(self, update: Update) -> None:
+        """Queue an update on all outbound links."""
+        frames = UpdateFrames(update=update, incarnation=self._greeting.incarnation)
+        for link in self._links.values():
+            link.send_update(frames)
+
+    async def request(
+        self, name: str, request: TopicRequest, *, timeout_s: float
+    ) -> TopicPage | None:
+        """Ask one peer for records; return None if it can't answer or does not in time."""
+        greeting = self._inbound_greetings.get(name)
+        link = None if greeting is None else self._links.get(greeting.address)
+        if link is None:
+            return None
+        return await link.request(request, timeout_s=timeout_s)
+
+    def _open_link(self, address: str) -> None:
         if address in self._links or address == self._greeting.address:
             return
         link = OutboundLink(
@@ -91,21 +150,36 @@
             timing=self._timing,
         )
         self._links[address] = link
-        self._tasks.start(self._run(link), name=f"link to {address}")
-
-    def broadcast(self, update: Update) -> None:
-        """Queue an update on all outbound links."""
-        if not self._links:
-            return
-        frame = encode(update)
-        for link in self._links.values():
-            link.enqueue(frame)
+        self._link_tasks[address] = self._tasks.start(self._run(link), name=f"link to {address}")
 
     async def _run(self, link: OutboundLink) -> None:
         try:
             await link.run()
         finally:
-            self._links.pop(link.address, None)
+            if self._links.get(link.address) is link:
+                del self._links[link.address]
+                del self._link_tasks[link.address]
+        name = self._selected.get(link.address)
+        if name is not None:
+            self._listener.peer_given_up(name)
+
+    def _close_unselected_links(self) -> None:
+        # Peers that understand only the first version of the protocol expect updates of all entries.
+        kept = {
+            greeting.address
+            for greeting in self._inbound_greetings.values()
+            if greeting.protocol < COMPACT_PROTOCOL
+        }
+        for address, task in list(self._link_tasks.items()):
+            if address not in self._selected and address not in kept:
+                task.cancel()
+
+    def _answer_link(self, greeting: Greeting) -> None:
+        """Open a link to a peer that dialled this entry."""
+        self._open_link(greeting.address)
+        if greeting.address not in self._selected:
+            loop = asyncio.get_running_loop()
+            loop.call_later(UNSELECTED_LINK_S, self._close_unselected_links)
 
     async def _accept(self, channel: Channel) -> None:
         try:
@@ -122,20 +196,16 @@
         name = greeting.name
         replaced = self._inbound.get(name)
         self._inbound[name] = channel
+        self._inbound_greetings[name] = greeting
         if replaced is not None:
             await replaced.close()
-        self.add_peer(greeting.address)
+        self._answer_link(greeting)
         reason = ""
         timed_out = False
         try:
             while True:
-                update = await self._receive(channel)
-                if not isinstance(update, Update):
-                    continue
-                self._listener.apply_update(name, update)
-                if update.known_offsets is not None:
-                    await channel.send(_HEARTBEAT_ACK)
-        except (ChannelClosedError, FailureError) as error:
+                await self._handle_message(greeting, channel, await self._receive(channel))
+        except (ChannelClosedError, FailureError, ValueError) as error:
             reason = repr(error)
         except TimeoutError:
             reason = f"no frame received for {self._timing.silence_s} s"
@@ -143,9 +213,24 @@
         finally:
             if self._inbound.get(name) is channel:
                 del self._inbound[name]
+                del self._inbound_greetings[name]
                 self._listener.peer_lost(name, timed_out=timed_out)
                 log_event(Event.PEER_LOST, peer=name, reason=reason)
 
+    async def _handle_message(self, greeting: Greeting, channel: Channel, received: object) -> None:
+        if isinstance(received, TopicRequest):
+            page = self._listener.topic_page(received)
+            if page is not None:
+                await channel.send(encode(page))
+            return
+        if isinstance(received, CompactUpdate):
+            received = expand(received.fields, greeting.incarnation)
+        if not isinstance(received, Update):
+            return
+        self._listener.apply_update(greeting.name, received)
+        if received.known_offsets is not None:
+            await channel.send(_HEARTBEAT_ACK)
+
     async def _receive(self, channel: Channel) -> object:
         async with asyncio.timeout(self._timing.silence_s):
             return decode(await channel.receive())
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -2,9 +2,16 @@
 
 import math
 from dataclasses import dataclass
+from typing import Any
 
 from ..peer import message
 
+# An entry sends only what the receiver understands: `Update` to all, `CompactUpdate` and
+# `TopicRequest` from `COMPACT_PROTOCOL` on. Until it knows the receiver's version it assumes the
+# first.
+FIRST_PROTOCOL = 1
+COMPACT_PROTOCOL = 2
+
 
 @message("mesh-greeting")
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -15,17 +22,25 @@
         name: The name of the sender's instance.
         incarnation: Identifies this run of the sender's process.
         address: The address at which the sender accepts links, "host:port".
+        protocol: The newest version of the protocol that the sender understands.
     """
 
     name: str
     incarnation: str
     address: str
+    protocol: int = FIRST_PROTOCOL
 
 
 @message("mesh-heard")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HeartbeatAck:
-    """Acknowledges a heartbeat or snapshot on the link that carried it."""
+    """Acknowledges a heartbeat or snapshot on the link that carried it.
+
+    Attributes:
+        protocol: The newest version of the protocol that the acknowledging entry understands.
+    """
+
+    protocol: int = FIRST_PROTOCOL
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -140,3 +155,44 @@
     paces: tuple[TargetPace, ...] = ()
     retries: tuple[RetryUse, ...] = ()
     known_offsets: dict[str, int] | None = None
+
+
+@message("mesh-load", body_field="fields")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CompactUpdate:
+    """An `Update` as a list of numbers; see `compact` and `expand`."""
+
+    fields: list[Any]
+
+
+@message("mesh-topic-request")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TopicRequest:
+    """Asks a peer for the records of a topic that the sender lacks.
+
+    Attributes:
+        topic: The value of the `Topic`.
+        from_offset: The first offset that the sender lacks; 0 if it has no records.
+    """
+
+    topic: str
+    from_offset: int = 0
+
+
+@message("mesh-topic-page")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TopicPage:
+    """The reply to a `TopicRequest`: the newest record of each key that changed since its offset.
+
+    Attributes:
+        topic: The value of the `Topic`.
+        next_offset: The offset at which the next request begins.
+        is_complete: Whether `records` holds the newest record of every key, so that keys without
+            one were removed.
+        records: The records in order of offset, as CBOR compressed with zlib.
+    """
+
+    topic: str
+    next_offset: int
+    is_complete: bool = False
+    records: bytes = b""
--- a/src/cicadatiller/peer/_codec.py
+++ b/src/cicadatiller/peer/_codec.py
@@ -4,6 +4,7 @@
 unknown kind is rejected with an error that names the kind.
 """
 
+import operator
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -23,12 +24,23 @@
 _converter.register_unstructure_hook(bytes, lambda value: value)
 
 
-def message(kind: str) -> Callable[[type[M]], type[M]]:
-    """Return a class decorator that registers a data class as the message of a kind."""
+def message(kind: str, *, body_field: str | None = None) -> Callable[[type[M]], type[M]]:
+    """Return a class decorator that registers a data class as the message of a kind.
+
+    Args:
+        kind: The kind of message.
+        body_field: The only field of the class, if its value is the frame's body as it is; None to
+            convert all fields.
+    """
 
     def register(message_type: type[M]) -> type[M]:
         _types_by_kind[kind] = message_type
         _kinds_by_type[message_type] = kind
+        if body_field is not None:
+            _converter.register_unstructure_hook(message_type, operator.attrgetter(body_field))
+            _converter.register_structure_hook(
+                message_type, lambda value, _: message_type(**{body_field: value})
+            )
         return message_type
 
     return register
--- a/src/cicadatiller/platform/_log.py
+++ b/src/cicadatiller/platform/_log.py
@@ -94,14 +94,20 @@
             raise HistoryLostError(f"records since offset {from_offset} are no longer in the store")
         return decode_page(body, from_offset)
 
-    async def put(self, topic: Topic, key: str, value: bytes | None) -> None:
-        """Append a record; a value of None removes the key.
+    async def put(self, topic: Topic, key: str, value: bytes | None) -> int:
+        """Append a record and return its offset; a value of None removes the key.
 
         Raises:
             StoreUnavailableError: If the store does not confirm it; it may have taken effect.
         """
         query: dict[str, str | int] = {"topic": TOPIC_NAMES[topic], "part": PARTITION}
-        await self._call(b"POST", "/log-append", query, body=encode_record(key, value))
+        _, body = await self._call(b"POST", "/log-append", query, body=encode_record(key, value))
+        try:
+            return int(json.loads(body)["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise StoreUnavailableError(
+                f"the response to /log-append can't be decoded: {error!r}"
+            ) from error
 
     def close(self) -> None:
         """Close the connections to the store."""
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -97,7 +97,7 @@
 
     async def put(self, topic, key, value):
         self._check()
-        await self._log.put(topic, key, value)
+        return await self._log.put(topic, key, value)
 
     def _check(self):
         if self.is_refused:
@@ -195,6 +195,18 @@
     async def add_gateway(self, *, is_refused=False, **bounds):
         """Start another entry; `bounds` are the fields of its `Bounds`."""
         number = len(self.gateways)
+        self.gateways.append(None)
+        self.logs.append(None)
+        self._stops.append(None)
+        self._tasks.append(None)
+        self._start_gateway(number, is_refused=is_refused, **bounds)
+
+    async def restart(self, number, *, is_refused=False):
+        """Kill an entry and start it again at the same address."""
+        await self.kill(number)
+        self._start_gateway(number, is_refused=is_refused)
+
+    def _start_gateway(self, number, *, is_refused, **bounds):
         pool = ConnectionPool()
         host = f"10.0.0.{number + 1}"
         node = NodeSettings(
@@ -220,10 +232,10 @@
             transport=self.peers.bind(node.peer_address),
         )
         stop = asyncio.Event()
-        self._stops.append(stop)
-        self._tasks.append(self.loop.create_task(gateway.run(stop)))
-        self.gateways.append(gateway)
-        self.logs.append(log)
+        self._stops[number] = stop
+        self._tasks[number] = self.loop.create_task(gateway.run(stop))
+        self.gateways[number] = gateway
+        self.logs[number] = log
 
     def stop(self, number=0):
         """Signal an entry to shut down and return its task."""
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -104,8 +104,9 @@
 
     async def _append(self, query, body):
         end = 5 + body[4]
+        offset = len(self._records[query["topic"]])
         self.write(query["topic"], body[5:end].decode(), body[end:] or None)
-        return 200, b"{}"
+        return 200, json.dumps({"offset": offset, "end": offset + 1}).encode()
 
 
 @dataclass
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -115,7 +115,7 @@
 
     def test_retries_of_peers_count(self):
         budget = self.budget()
-        budget.entries = 3
+        budget.connected_entries = 3
         budget.record_peer_use("b", "pool", 0, 5)
         budget.record_peer_use("c", "pool", 0, 3)
         self.assertFalse(budget.try_spend("pool", 1.0))
@@ -125,7 +125,7 @@
     def test_entries_together_stay_within_the_budget_between_reports(self):
         budgets = [self.budget(slack=100) for _ in range(5)]
         for budget in budgets:
-            budget.entries = 5
+            budget.connected_entries = 5
         self.assertLessEqual(sum(self.spend_all(budget, 1.0) for budget in budgets), 100)
 
 
@@ -211,8 +211,8 @@
             for number in range(20):
                 record = KeyedRecord(offset=1 + number, key=f"p{number}", value=b"v")
                 page = KeyedPage(records=(record,), next_offset=2 + number)
-                follower.apply_from_peer(1 + number, page)
-                follower.apply_from_peer(1 + number, page)
+                follower.apply_read_of_peer(1 + number, page)
+                follower.apply_read_of_peer(1 + number, page)
                 await asyncio.sleep(0.2)
             return log.reads - before, len(sink.applied), follower.next_offset
 
@@ -221,7 +221,7 @@
     def test_records_after_a_gap_are_ignored(self):
         async def scenario(follower, log, sink, sent_to_peers):
             record = KeyedRecord(offset=5, key="late", value=b"v")
-            follower.apply_from_peer(5, KeyedPage(records=(record,), next_offset=6))
+            follower.apply_read_of_peer(5, KeyedPage(records=(record,), next_offset=6))
             return sink.applied, follower.next_offset
 
         self.assertEqual(self.run_scenario(scenario), ([], 1))
@@ -229,8 +229,10 @@
     def test_newest_records_of_a_peer_close_a_gap(self):
         async def scenario(follower, log, sink, sent_to_peers):
             record = KeyedRecord(offset=5, key="b", value=b"v")
-            follower.apply_from_peer(None, KeyedPage(records=(record,), next_offset=6))
-            follower.apply_from_peer(None, KeyedPage(records=(), next_offset=3))
+            newer = KeyedPage(records=(record,), next_offset=6)
+            follower.apply_catch_up(newer, is_complete=True)
+            older = KeyedPage(records=(), next_offset=3)
+            follower.apply_catch_up(older, is_complete=True)
             return sink.replaced[-1][0], follower.next_offset
 
         self.assertEqual(self.run_scenario(scenario), (["b"], 6))
@@ -277,7 +279,7 @@
     def test_read_soon_reads_at_once(self):
         async def scenario(follower, log, sink, sent_to_peers):
             page = KeyedPage(records=(), next_offset=1)
-            follower.apply_from_peer(1, page)
+            follower.apply_read_of_peer(1, page)
             log.add("b")
             follower.read_soon()
             await asyncio.sleep(0.01)
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -52,7 +52,8 @@
     return Scheduler(
         owner="g0",
         data_centre="c0",
-        directory=directory,
+        targets=directory.targets_of,
+        spare_targets=directory.targets_of,
         board=LoadBoard(),
         services=services.get,
         listener=listener or Listener(),
@@ -190,9 +191,9 @@
         return [
             name
             for name in self.ENTRIES
-            if SlotArbiter(
-                name=name, peers=lambda name=name: [n for n in self.ENTRIES if n != name]
-            ).may_place("t", load, 8, now_s)
+            if SlotArbiter(name=name, users=lambda target_id: self.ENTRIES).may_place(
+                "t", load, 8, now_s
+            )
         ]
 
     def test_entries_may_use_the_last_slot_one_after_another(self):
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,250 @@
+"""Tests of the messages between entries and of the links that carry them."""
+
+import asyncio
+import math
+import unittest
+
+from cicadatiller.kernel import TaskSet
+from cicadatiller.mesh import (
+    COMPACT_PROTOCOL,
+    FIRST_PROTOCOL,
+    Greeting,
+    Mesh,
+    RetryUse,
+    StoreRecord,
+    TargetFailure,
+    TargetPace,
+    TopicPage,
+    TopicRequest,
+    TopicUpdate,
+    Update,
+    WorkShare,
+    compact,
+    expand,
+    pack_records,
+    unpack_records,
+)
+from cicadatiller.peer import decode, encode
+from cicadatiller.standins import MemoryNetwork
+
+from .support.streams import NetworkCase
+
+RUN = "front-hall-1-abc123"
+
+
+def make_share(**changes):
+    fields = {
+        "work_id": f"{RUN}-17",
+        "target_id": "i-7f3a91c2",
+        "age_s": 0.012,
+        "read_s": 0.026,
+        "read_tokens": 4960,
+        "kv_tokens": 6900,
+        "context_tokens": 4960,
+        "max_gap_s": 0.25,
+        "due_in_s": 0.3,
+        "worth": 0.97,
+        "write_s": 1.4,
+    }
+    return WorkShare(**(fields | changes))
+
+
+FULL_UPDATE = Update(
+    is_snapshot=True,
+    added=(
+        make_share(),
+        make_share(writes=False, has_begun=True, max_gap_s=math.inf, due_in_s=math.inf),
+    ),
+    begun=(f"{RUN}-3", "other-5"),
+    ended=(f"{RUN}-4",),
+    news=(
+        TopicUpdate(
+            topic="targets",
+            next_offset=9,
+            from_offset=7,
+            records=(
+                StoreRecord(offset=7, key="t", value=b"v"),
+                StoreRecord(offset=8, key="u", value=None),
+            ),
+        ),
+    ),
+    failures=(TargetFailure(target_id="t", reason="", is_helper=True),),
+    paces=(TargetPace(target_id="t", pace=1.5),),
+    retries=(RetryUse(service="pool", requests=10, retries=2),),
+    known_offsets={"targets": 9},
+)
+
+
+class CompactFormTest(unittest.TestCase):
+    def round_trip(self, update):
+        frame = decode(encode_compact(update))
+        return expand(frame.fields, RUN)
+
+    def test_all_fields_survive(self):
+        self.assertEqual(self.round_trip(FULL_UPDATE), FULL_UPDATE)
+
+    def test_heartbeat_without_offsets_is_still_a_heartbeat(self):
+        for update in (Update(), Update(known_offsets={}), Update(ended=(f"{RUN}-1",))):
+            self.assertEqual(self.round_trip(update), update)
+
+    def test_placement_takes_less_than_a_third_of_the_first_protocol(self):
+        update = Update(added=(make_share(),))
+        self.assertLess(3 * len(encode_compact(update)), len(encode(update)))
+
+    def test_malformed_update_is_refused(self):
+        for fields in ([0, [[1]]], [0, 5], [0, [], [], [], [["targets"]]]):
+            with self.assertRaises(ValueError):
+                expand(fields, RUN)
+
+    def test_records_survive_packing(self):
+        records = FULL_UPDATE.news[0].records
+        self.assertEqual(unpack_records(pack_records(records)), records)
+        self.assertEqual(unpack_records(b""), ())
+
+    def test_malformed_records_are_refused(self):
+        for packed in (b"x", pack_records(FULL_UPDATE.news[0].records)[:-3]):
+            with self.assertRaises(ValueError):
+                unpack_records(packed)
+
+
+def encode_compact(update):
+    from cicadatiller.mesh._messages import CompactUpdate
+
+    return encode(CompactUpdate(fields=compact(update, RUN)))
+
+
+class RecordingListener:
+    """Records the updates of peers."""
+
+    def __init__(self):
+        self.updates = []
+        self.lost = []
+        self.given_up = []
+
+    def apply_update(self, name, update):
+        self.updates.append((name, update))
+
+    def peer_lost(self, name, *, timed_out):
+        self.lost.append(name)
+
+    def snapshot(self):
+        return Update(is_snapshot=True, known_offsets={})
+
+    def heartbeat(self):
+        return Update(known_offsets={})
+
+    def topic_page(self, request):
+        return TopicPage(topic=request.topic, next_offset=request.from_offset + 1)
+
+    def peer_given_up(self, name):
+        self.given_up.append(name)
+
+
+class MeshTest(NetworkCase):
+    def setUp(self):
+        self.network = MemoryNetwork(latency_s=0.001)
+        self.frames = []
+
+    async def start(self, number, *, protocol=COMPACT_PROTOCOL):
+        address = f"10.0.0.{number}:82"
+        greeting = Greeting(
+            name=f"e{number}", incarnation=f"e{number}-run", address=address, protocol=protocol
+        )
+        listener = RecordingListener()
+        mesh = Mesh(
+            greeting=greeting,
+            transport=self.network.bind(address),
+            listener=listener,
+            tasks=TaskSet(),
+        )
+        await mesh.start(address)
+        return mesh, listener
+
+    def test_updates_are_compact_once_the_peer_has_told_its_version(self):
+        async def scenario():
+            sender, _ = await self.start(1)
+            _, receiver = await self.start(2)
+            self.network.filter = self.record_frame
+            sender.select_peers({"e2": "10.0.0.2:82"})
+            await asyncio.sleep(0.1)
+            sender.broadcast(Update(added=(make_share(work_id="e1-run-1"),)))
+            await asyncio.sleep(0.1)
+            return receiver.updates[-1][1].added[0].work_id
+
+        self.assertEqual(self.run_paused(scenario()), "e1-run-1")
+        kinds = [type(decode(frame)).__name__ for frame in self.frames]
+        self.assertEqual(kinds[:3], ["Greeting", "Update", "HeartbeatAck"])
+        self.assertIn("CompactUpdate", kinds)
+
+    def test_peer_of_the_first_version_gets_updates_that_it_understands(self):
+        async def scenario():
+            sender, _ = await self.start(1)
+            self.network.filter = self.record_frame
+
+            async def acknowledge(channel):
+                while True:
+                    await channel.receive()
+                    await channel.send(encode(OLD_ACKNOWLEDGEMENT))
+
+            await self.network.listen("10.0.0.3:82", acknowledge)
+            sender.select_peers({"e3": "10.0.0.3:82"})
+            await asyncio.sleep(0.1)
+            sender.broadcast(Update(ended=("e1-run-1",)))
+            await asyncio.sleep(1.0)
+
+        self.run_paused(scenario())
+        kinds = {type(decode(frame)).__name__ for frame in self.frames}
+        self.assertEqual(kinds, {"Greeting", "Update", "HeartbeatAck"})
+
+    def test_peer_of_the_first_version_keeps_its_link_though_it_is_not_selected(self):
+        async def scenario():
+            new, _ = await self.start(1)
+            old, old_listener = await self.start(2, protocol=FIRST_PROTOCOL)
+            _, newer_listener = await self.start(3)
+            old.select_peers({"e1": "10.0.0.1:82"})
+            third = Mesh(
+                greeting=Greeting(
+                    name="e4", incarnation="e4-run", address="10.0.0.3:82", protocol=2
+                ),
+                transport=self.network.bind("10.0.0.3:82"),
+                listener=newer_listener,
+                tasks=TaskSet(),
+            )
+            third.select_peers({"e1": "10.0.0.1:82"})
+            await asyncio.sleep(20.0)
+            old_listener.updates.clear()
+            newer_listener.updates.clear()
+            await asyncio.sleep(2.0)
+            return bool(old_listener.updates), bool(newer_listener.updates)
+
+        self.assertEqual(self.run_paused(scenario()), (True, False))
+
+    def test_request_is_answered_by_the_peer_that_was_asked(self):
+        async def scenario():
+            first, _ = await self.start(1)
+            second, _ = await self.start(2)
+            first.select_peers({"e2": "10.0.0.2:82"})
+            second.select_peers({"e1": "10.0.0.1:82"})
+            await asyncio.sleep(0.1)
+            request = TopicRequest(topic="targets", from_offset=4)
+            page = await first.request("e2", request, timeout_s=1.0)
+            nobody = await first.request("e9", request, timeout_s=1.0)
+            return page.next_offset, nobody
+
+        self.assertEqual(self.run_paused(scenario()), (5, None))
+
+    def test_peer_that_can_not_be_reached_is_given_up(self):
+        async def scenario():
+            mesh, listener = await self.start(1)
+            mesh.select_peers({"e2": "10.0.0.2:82"})
+            await asyncio.sleep(70.0)
+            return listener.given_up
+
+        self.assertEqual(self.run_paused(scenario()), ["e2"])
+
+    def record_frame(self, source, destination, frame):
+        self.frames.append(frame)
+        return [frame]
+
+
+OLD_ACKNOWLEDGEMENT = decode(encode(decode(b"\x83\x01\x6amesh-heard\xa0")))
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -191,12 +191,10 @@
 
     def test_entry_started_without_store_access_is_updated_by_peers(self):
         async def scenario(fleet):
-            await fleet.add_gateway(is_refused=True)
-            for gateway in fleet.gateways[:ENTRIES]:
-                gateway.peer_sync.mesh.add_peer(f"10.0.0.{ENTRIES + 1}:82")
+            await fleet.restart(0, is_refused=True)
             await asyncio.sleep(2.0)
-            readiness = await fleet.readiness(ENTRIES)
-            reply = await fleet.ask(entry=ENTRIES)
+            readiness = await fleet.readiness(0)
+            reply = await fleet.ask(entry=0)
             return readiness, reply.status
 
         self.assertEqual(self.run_scenario(scenario), (200, 200))
@@ -224,4 +222,4 @@
             return fleet.gateways[0].peer_sync.known_offsets()
 
         offsets = self.run_scenario(scenario)
-        self.assertEqual(set(offsets), {Topic.CONFIGURATION.value, Topic.TARGETS.value})
+        self.assertEqual(set(offsets), {topic.value for topic in Topic})
