Allow for requests of other entries that a view does not show yet, and spread equal choices

Ruled out: one entry that decides the slots of a target (a hop through a machine of 0.387 cores for each request), offering slots in turn only (that is what the slot arbiter does for freed slots; a free one has no order).

Change: a placement counts the chance that a target's free slots are taken already, from the rate at which others recently placed there times the age of the view (the time that peers take to acknowledge a heartbeat), and from peers whose links timed out, which may still work. Equal choices are ranked differently by each entry.

--- a/src/cicadatiller/fleet/_subset.py
+++ b/src/cicadatiller/fleet/_subset.py
@@ -97,6 +97,12 @@
         self._refresh()
         return list(self._pools.get(service, ()))
 
+    @property
+    def size(self) -> int:
+        """Return the number of targets, of all services, that this entry uses."""
+        self._refresh()
+        return sum(len(pool) for pool in self._pools.values())
+
     def users(self, target_id: str, entries: Iterable[str]) -> list[str]:
         """Return those of `entries` that use a target; unknown entries are taken to use it."""
         self._refresh()
--- a/src/cicadatiller/gateway/__init__.py
+++ b/src/cicadatiller/gateway/__init__.py
@@ -1,5 +1,6 @@
 """The HTTP/1.1 gateway of an entry: admits, schedules and forwards the requests of callers."""
 
+from ._contention import Contention
 from ._node import Bounds, NodeSettings
 from ._orders import EngineClient, EngineReport, ReserveResult
 from ._process import Gateway
@@ -9,6 +10,7 @@
 
 __all__ = [
     "Bounds",
+    "Contention",
     "EngineClient",
     "EngineReport",
     "Gateway",
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -69,6 +69,7 @@
         self._on_change = on_change
         self._on_peer_given_up = on_peer_given_up
         self._loop = asyncio.get_running_loop()
+        self._unheard_since_s: dict[str, float] = {}
         self._own_works: dict[str, tuple[Work, ...]] = {}
         self._peer_target_ids: dict[str, dict[str, tuple[str, ...]]] = {}
         self._pending_added: list[WorkShare] = []
@@ -128,6 +129,11 @@
         """Handle a peer that could not be reached for long."""
         self._on_peer_given_up(name)
 
+    def unheard_s(self) -> dict[str, float]:
+        """Return the time since the link of each peer timed out, by name."""
+        now_s = self._loop.time()
+        return {name: now_s - since_s for name, since_s in self._unheard_since_s.items()}
+
     def snapshot(self) -> Update:
         """Return the full state, which is sent first on each new link."""
         works = [self._to_share(work) for group in self._own_works.values() for work in group]
@@ -153,6 +159,7 @@
     def apply_update(self, name: str, update: Update) -> None:
         """Apply an update of a peer."""
         now_s = self._loop.time()
+        self._unheard_since_s.pop(name, None)
         if update.is_snapshot:
             self._drop_peer_works(name, now_s)
         target_ids_by_work = self._peer_target_ids.setdefault(name, {})
@@ -182,6 +189,7 @@
         `MAX_UNRESPONSIVE_PEER_WORK_S`.
         """
         if timed_out:
+            self._unheard_since_s[name] = self._loop.time()
             self._drop_peer_works_when_due(name)
         else:
             self._drop_peer_works(name, self._loop.time())
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -12,6 +12,7 @@
 from ..placement import LoadBoard
 from ..routes import RouteTable, Service
 from ._clock import ClockWatch
+from ._contention import Contention
 from ._exposition import Exposition
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
@@ -289,9 +290,20 @@
             listener=self.peer_sync,
             reservation_risk=lambda: self._reservations.loss_rate,
             weights=self._settings.weights,
+            unknown_requests=self._make_contention().unknown_requests,
             may_place=SlotArbiter(name=self._node.name, users=self._connected_users).may_place,
         )
 
+    def _make_contention(self) -> Contention:
+        return Contention(
+            owner=self._run_id,
+            board=self.board,
+            view_age_s=lambda: self.peer_sync.mesh.round_trip_s,
+            unheard_s=self.peer_sync.unheard_s,
+            users=self._subset.users,
+            own_targets=lambda: self._subset.size,
+        )
+
     def _make_handler(self, codec: WireCodec) -> RequestHandler:
         forwarder = Forwarder(
             codec=codec,
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from ..fleet import Target, eject_failing, eject_slow, usable_targets
-from ..kernel import ErrorKind, FailureError, fail
+from ..kernel import MAX_RENDEZVOUS_WEIGHT, ErrorKind, FailureError, fail, rendezvous_weight
 from ..placement import (
     Backlog,
     CallCandidate,
@@ -52,6 +52,7 @@
 
 
 MayPlace = Callable[[str, TargetLoad, int, float], bool]
+UnknownRequests = Callable[[str, TargetLoad, float], float]
 
 
 class WorkListener(Protocol):
@@ -87,6 +88,8 @@
         listener: Receives the start, first event and end of each placed request.
         reservation_risk: Returns the probability that a memory reservation fails.
         weights: Value of a request and its loss when late.
+        unknown_requests: Returns the expected number of requests on a target that other entries
+            have placed and this entry does not know of, from the target's id, load and the time.
         may_place: Returns whether this entry may place one more request on a target now, from the
             target's id, load and slots and the time.
     """
@@ -103,6 +106,7 @@
         listener: WorkListener,
         reservation_risk: Callable[[], float] = lambda: 0.0,
         weights: WorthWeights | None = None,
+        unknown_requests: UnknownRequests = lambda target_id, load, now_s: 0.0,
         may_place: MayPlace = lambda target_id, load, slots, now_s: True,
     ) -> None:
         self._owner = owner
@@ -114,7 +118,9 @@
         self._listener = listener
         self._reservation_risk = reservation_risk
         self._weights = weights or WorthWeights()
+        self._unknown_requests = unknown_requests
         self._may_place = may_place
+        self._preferences: dict[str, float] = {}
         self._waiters: list[Waiter] = []
         self._backlogs: dict[str, Backlog] = {}
         self._demands: dict[str, _CachedDemand] = {}
@@ -356,25 +362,37 @@
         pool: list[Target],
         now_s: float,
     ) -> Placement | None:
-        candidates = [
-            Candidate(
-                target_id=target.instance_id,
-                load=self._board.load(target.instance_id),
-                is_near=target.record.data_centre == self._data_centre,
-                may_host=self._may_host(waiter, target, model, now_s),
-                may_help=target.may_help(now_s),
-            )
-            for target in pool
-        ]
         return place_prompt(
             prompt,
-            candidates,
+            [self._describe(waiter, target, model, now_s) for target in pool],
             model,
             now_s,
             reservation_risk=self._reservation_risk(),
             demand=self._expected_demand(waiter.job.service, model, now_s),
         )
 
+    def _describe(
+        self, waiter: Waiter, target: Target, model: EngineModel, now_s: float
+    ) -> Candidate:
+        target_id = target.instance_id
+        load = self._board.load(target_id)
+        return Candidate(
+            target_id=target_id,
+            load=load,
+            is_near=target.record.data_centre == self._data_centre,
+            may_host=self._may_host(waiter, target, model, now_s),
+            may_help=target.may_help(now_s),
+            unknown_requests=self._unknown_requests(target_id, load, now_s),
+            preference=self._preference(target_id),
+        )
+
+    def _preference(self, target_id: str) -> float:
+        preference = self._preferences.get(target_id)
+        if preference is None:
+            preference = rendezvous_weight(self._owner, target_id) / MAX_RENDEZVOUS_WEIGHT
+            self._preferences[target_id] = preference
+        return preference
+
     def _apply_verdict(
         self,
         waiter: Waiter,
--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -27,7 +27,7 @@
 )
 from ._prompts import CHARACTERS_PER_TOKEN, PROMPT_BUCKETS, count_prompt_tokens, prompt_bucket
 from ._registry import Registry
-from ._rendezvous import rendezvous_weight
+from ._rendezvous import MAX_RENDEZVOUS_WEIGHT, rendezvous_weight
 from ._settings import (
     SecretSetting,
     SettingsError,
@@ -43,6 +43,7 @@
 from ._states import RequestState
 
 __all__ = [
+    "MAX_RENDEZVOUS_WEIGHT",
     "Advice",
     "AttemptId",
     "CHARACTERS_PER_TOKEN",
--- a/src/cicadatiller/kernel/_rendezvous.py
+++ b/src/cicadatiller/kernel/_rendezvous.py
@@ -2,6 +2,8 @@
 
 import xxhash
 
+MAX_RENDEZVOUS_WEIGHT = 2**64 - 1
+
 
 def rendezvous_weight(key: str, name: str) -> int:
     """Return the weight of a name for a key.
--- a/src/cicadatiller/mesh/_link.py
+++ b/src/cicadatiller/mesh/_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -20,6 +21,7 @@
 )
 
 MAX_QUEUED_BYTES = 256 * 1024
+ROUND_TRIP_GAIN = 0.3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,6 +59,11 @@
         self._incarnation = incarnation
         self._frames: dict[bool, bytes] = {}
 
+    @property
+    def is_acknowledged(self) -> bool:
+        """Return whether receivers acknowledge the update."""
+        return self._update.known_offsets is not None
+
     def for_protocol(self, protocol: int) -> bytes:
         """Return the frame for a receiver that understands a version of the protocol."""
         is_compact = protocol >= COMPACT_PROTOCOL
@@ -86,6 +93,7 @@
         is_up: Whether a channel is open.
         protocol: The version of the protocol that the peer understands.
         queued_bytes: The size of the frames that wait to be written.
+        round_trip_s: The smoothed time until the peer acknowledges a heartbeat; 0 before the first.
     """
 
     def __init__(
@@ -102,6 +110,8 @@
         self.is_up = False
         self.protocol = FIRST_PROTOCOL
         self.queued_bytes = 0
+        self.round_trip_s = 0.0
+        self._heartbeats_sent_s: deque[float] = deque()
         self._transport = transport
         self._greeting = greeting
         self._snapshot = snapshot
@@ -114,8 +124,11 @@
 
     def send_update(self, frames: UpdateFrames) -> None:
         """Queue an update for sending."""
-        if self.is_up:
-            self._enqueue(frames.for_protocol(self.protocol))
+        if not self.is_up:
+            return
+        if frames.is_acknowledged:
+            self._heartbeats_sent_s.append(asyncio.get_running_loop().time())
+        self._enqueue(frames.for_protocol(self.protocol))
 
     async def request(self, request: TopicRequest, *, timeout_s: float) -> TopicPage | None:
         """Ask the peer for records; return None if it can't answer or does not in time."""
@@ -170,8 +183,9 @@
             await channel.send(encode(self._greeting))
             self._frames.clear()
             self.queued_bytes = 0
+            self._heartbeats_sent_s.clear()
             self.is_up = True
-            await channel.send(self._frame(self._snapshot()))
+            await self._send_heartbeat(channel, self._snapshot())
             log_event(Event.PEER_CONNECTED, peer=self.address)
             await self._send_frames(channel)
         except ChannelClosedError as error:
@@ -190,16 +204,17 @@
                     await self._has_frames.wait()
             except TimeoutError:
                 heartbeat_due_s = loop.time() + self._timing.heartbeat_s
-                await channel.send(self._frame(self._heartbeat()))
+                await self._send_heartbeat(channel, self._heartbeat())
             self._has_frames.clear()
             frames, self._frames = self._frames, []
             for frame in frames:
                 await channel.send(frame)
                 self.queued_bytes -= len(frame)
 
-    def _frame(self, update: Update) -> bytes:
+    async def _send_heartbeat(self, channel: Channel, update: Update) -> None:
         frames = UpdateFrames(update=update, incarnation=self._greeting.incarnation)
-        return frames.for_protocol(self.protocol)
+        self._heartbeats_sent_s.append(asyncio.get_running_loop().time())
+        await channel.send(frames.for_protocol(self.protocol))
 
     async def _read_replies(self, channel: Channel) -> None:
         """Close the channel when the peer closes it or stops acknowledging heartbeats."""
@@ -209,11 +224,19 @@
                     reply = decode(await channel.receive())
                 if isinstance(reply, HeartbeatAck):
                     self.protocol = reply.protocol
+                    self._record_acknowledgement()
                 elif isinstance(reply, TopicPage):
                     self._deliver(reply)
         except (ChannelClosedError, FailureError, TimeoutError):
             await channel.close()
 
+    def _record_acknowledgement(self) -> None:
+        if not self._heartbeats_sent_s:
+            return
+        taken_s = asyncio.get_running_loop().time() - self._heartbeats_sent_s.popleft()
+        gain = ROUND_TRIP_GAIN if self.round_trip_s else 1.0
+        self.round_trip_s += gain * (taken_s - self.round_trip_s)
+
     def _deliver(self, page: TopicPage) -> None:
         waiting = self._replies.get(page.topic)
         if waiting is not None and not waiting.done():
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -106,6 +106,12 @@
         """Return the size of the frames that wait to be written to peers."""
         return sum(link.queued_bytes for link in self._links.values())
 
+    @property
+    def round_trip_s(self) -> float:
+        """Return the mean time until peers acknowledge a heartbeat; 0 without open links."""
+        times_s = [link.round_trip_s for link in self._links.values() if link.is_up]
+        return sum(times_s) / len(times_s) if times_s else 0.0
+
     def select_peers(self, addresses: Mapping[str, str]) -> None:
         """Open links to the peers that this entry shares targets with, and close other links.
 
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -8,6 +8,7 @@
 MAX_PACE = 50.0
 CALL_GAIN = 0.25
 RECENT_WINDOW_S = 5.0
+RATE_WINDOWS_S = (0.5, 3.0)
 
 
 class TargetLoad:
@@ -82,6 +83,17 @@
         """
         return [work for work in self._recent.values() if work.placed_s >= since_s]
 
+    def recent_rate_of_others_per_s(self, owner: str, now_s: float) -> float:
+        """Return the rate at which others than `owner` recently placed requests to be hosted.
+
+        It is the highest rate in any of `RATE_WINDOWS_S`, so that it rises at once in a burst.
+        """
+        placed_s = [w.placed_s for w in self._recent.values() if w.writes and w.owner != owner]
+        return max(
+            sum(time_s >= now_s - window_s for time_s in placed_s) / window_s
+            for window_s in RATE_WINDOWS_S
+        )
+
     def add(self, work: Work) -> None:
         """Add work; its prefill is assumed to start after all known prefill."""
         self._record_recent(work)
@@ -143,6 +155,14 @@
         """Return the number of requests in flight on all targets."""
         return sum(load.in_flight for load in self._loads.values())
 
+    def hosted_by(self, owner: str) -> int:
+        """Return the number of requests in flight that one entry has placed."""
+        return sum(
+            work.writes and work.owner == owner
+            for load in self._loads.values()
+            for work in load.works.values()
+        )
+
     def add(self, works: Iterable[Work]) -> None:
         """Add the work of a request, one item per target."""
         for work in works:
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -31,6 +31,7 @@
 NEW_SHORT_GAP_HOST_COST = 0.1
 RESERVATION_COST = 0.3
 REMOTE_COST = 0.005
+SPREAD_COST = 0.1
 KV_USABLE_SHARE = 0.95
 USABLE_SLOTS_SHARE = 0.75
 # A prompt is placed if the loss to others is at most the sum of these shares of its gain and of its
@@ -62,6 +63,10 @@
         is_near: Whether the target is in this entry's data centre.
         may_host: Whether the request itself may be sent to the target.
         may_help: Whether the target may prefill parts of prompts hosted elsewhere.
+        unknown_requests: The expected number of requests that other entries have placed on the
+            target and that this entry has not learnt of yet.
+        preference: A number from 0 to 1 by which this entry ranks targets of equal cost; it differs
+            between entries.
     """
 
     target_id: str
@@ -69,6 +74,8 @@
     is_near: bool = False
     may_host: bool = True
     may_help: bool = True
+    unknown_requests: float = 0.0
+    preference: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -206,6 +213,7 @@
         self.decoding = load.decoding()
         self.awaiting_prefill = load.awaiting_prefill()
         self.may_host = load.in_flight < model.slots and candidate.may_host
+        self.no_slot = poisson_at_least(candidate.unknown_requests, model.slots - load.in_flight)
         self.may_help = load.helped_prompts < model.slots and candidate.may_help
         self.free_kv_tokens = int(model.kv_capacity_tokens * KV_USABLE_SHARE) - load.kv_tokens
         self.wait_s = load.prefill_wait_s(now_s)
@@ -357,6 +365,7 @@
     that has none yet leaves one target less for long prefills.
     """
     cost = 0.0 if view.candidate.is_near else REMOTE_COST
+    cost += prompt.worth * view.no_slot + SPREAD_COST * view.candidate.preference
     has_short_gap = prompt.max_gap_s < SHORT_GAP_PASSES * view.pass_s
     if has_short_gap and not any(
         work.max_gap_s <= prompt.max_gap_s for work in view.load.works.values()
@@ -365,6 +374,18 @@
     return cost
 
 
+def poisson_at_least(mean: float, count: int) -> float:
+    """Return the probability that a Poisson variable is at least `count`."""
+    if mean <= 0 or count <= 0:
+        return 0.0 if count > 0 else 1.0
+    term = math.exp(-mean)
+    below = 0.0
+    for number in range(count):
+        below += term
+        term *= mean / (number + 1)
+    return max(0.0, 1.0 - below)
+
+
 def _time_scale_s(prompt: Prompt) -> float:
     return max(prompt.due_in_s, prompt.max_gap_s)
 
--- a/tests/support/placement_simulation.py
+++ b/tests/support/placement_simulation.py
@@ -8,7 +8,8 @@
 import itertools
 import math
 import random
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass, field, replace
 
 from cicadatiller.placement import (
     Backlog,
@@ -70,12 +71,19 @@
 
 @dataclass
 class SimulatedRequest:
-    """A request and its outcome."""
+    """A request and its outcome.
+
+    Attributes:
+        entry: The number of the entry that it arrived at.
+        place_was_taken: Whether its target had no free slot when it arrived there.
+    """
 
     kind: PromptKind
     arrived_s: float
     tokens: int
     events: int
+    entry: int = 0
+    place_was_taken: bool = False
     first_s: float | None = None
     last_event_s: float = 0.0
     longest_gap_s: float = 0.0
@@ -119,11 +127,15 @@
         name: The engine's target id.
         prefills: The parts of prompts that wait for prefill or are in prefill, in this order.
         writers: The requests that are decoding.
+        hosted: The work ids of the requests that occupy a slot.
+        queue: The requests that wait for a slot, as (work id, part in tokens, whether in a gang).
         is_running: Whether a pass is in progress.
         pace: Slowdown factor against the engine model.
     """
 
     name: str
+    hosted: set = field(default_factory=set)
+    queue: list = field(default_factory=list)
     prefills: list = field(default_factory=list)
     writers: list = field(default_factory=list)
     is_running: bool = False
@@ -131,7 +143,9 @@
 
 
 class PlacementSimulation:
-    """Simulates one entry that places the requests of a generated load.
+    """Simulates entries that place the requests of a generated load.
+
+    Each entry knows its own placements at once, and those of the others after a delay.
 
     Args:
         engines: The number of engines.
@@ -141,13 +155,45 @@
         model: The engine model.
         decide_share: The share of its caller's patience after which a waiting prompt is placed or
             refused.
+        entries: The number of entries; each request arrives at a random one.
+        delays_s: The shortest and longest time after which an entry learns of others' work.
+        subsets: The names of the engines that each entry uses; None if all use all.
+        cut_off: The numbers of the entries that neither tell others of their work nor hear of it.
+        describe: Called with (entry, engine, load, now_s, age in s of the entry's view); returns
+            further fields of a `Candidate`.
     """
 
-    def __init__(self, *, engines, policy=place_prompt, seed=1, model=ENGINE, decide_share=0.7):
+    def __init__(
+        self,
+        *,
+        engines,
+        policy=place_prompt,
+        seed=1,
+        model=ENGINE,
+        decide_share=0.7,
+        entries=1,
+        delays_s=(0.0, 0.0),
+        subsets=None,
+        cut_off=(),
+        describe=None,
+    ):
         self.model = model
         self.policy = policy
         self.engines = {f"e{number}": SimulatedEngine(f"e{number}") for number in range(engines)}
-        self.board = LoadBoard()
+        self.boards = [LoadBoard() for _ in range(entries)]
+        self._entry_random = random.Random(f"entries {seed}")
+        self._delays_s = [self._entry_random.uniform(*delays_s) for _ in range(entries)]
+        self._subsets = subsets or [list(self.engines)] * entries
+        used = [set(names) for names in self._subsets]
+        self._sharing = [
+            [
+                other
+                for other in range(entries)
+                if other != entry and used[other] & used[entry] and not {entry, other} & {*cut_off}
+            ]
+            for entry in range(entries)
+        ]
+        self._describe = describe or (lambda *_: {})
         self.requests = []
         self.now_s = 0.0
         self._decide_share = decide_share
@@ -156,7 +202,7 @@
         self._sequence = itertools.count()
         self._waiting = []
         self._recheck_set = False
-        self._backlog = Backlog()
+        self._backlogs = [Backlog() for _ in range(entries)]
         self._placements = {}
         self._request_by_work = {}
         self._remaining_parts = {}
@@ -185,7 +231,8 @@
             mu = math.log(kind.mean_tokens) - kind.length_sigma**2 / 2
             tokens = int(min(kind.max_tokens, self._random.lognormvariate(mu, kind.length_sigma)))
             events = max(1, int(self._random.lognormvariate(math.log(kind.events) - 0.12, 0.5)))
-            request = SimulatedRequest(kind, time_s, max(16, tokens), events)
+            entry = self._entry_random.randrange(len(self.boards))
+            request = SimulatedRequest(kind, time_s, max(16, tokens), events, entry)
             self.requests.append(request)
             self._schedule(time_s, lambda request=request: self._on_arrival(request))
 
@@ -207,9 +254,11 @@
         work_id = next(key for key, other in self._request_by_work.items() if other is request)
         placement = self._placements.pop(work_id)
         members = (placement.host_id, *placement.helper_ids)
-        self.board.remove(work_id, members, self.now_s)
+        self._tell(request.entry, lambda board, now_s: board.remove(work_id, members, now_s))
+        self._free_slot(self.engines[placement.host_id], work_id)
         for name in members:
             engine = self.engines[name]
+            engine.queue = [queued for queued in engine.queue if queued[0] != work_id]
             engine.prefills = [prefill for prefill in engine.prefills if prefill.work_id != work_id]
             engine.writers = [writer for writer in engine.writers if writer.work_id != work_id]
 
@@ -218,21 +267,21 @@
 
         A decision can depend on time alone, without any event in between.
         """
-        ahead = 0
+        ahead = Counter()
         for request in sorted(self._waiting, key=self._sort_key):
-            placement = self._decide(request, ahead)
+            placement = self._decide(request, ahead[request.entry])
             if isinstance(placement, Placement):
                 self._waiting.remove(request)
                 request.waited_s = self.now_s - request.arrived_s
                 if request.waited_s:
-                    self._backlog.record_grant(self.now_s)
+                    self._backlogs[request.entry].record_grant(self.now_s)
                 self._start(request, placement)
             elif placement is Verdict.REFUSE:
                 self._waiting.remove(request)
                 request.waited_s = self.now_s - request.arrived_s
                 request.refused = True
             else:
-                ahead += 1
+                ahead[request.entry] += 1
         if self._waiting and not self._recheck_set:
             self._recheck_set = True
             self._schedule(self.now_s + RECHECK_S, self._recheck)
@@ -261,16 +310,15 @@
     def _decide(self, request, ahead):
         """Return a placement; without one, the verdict, or None from a baseline policy."""
         prompt = self._prompt(request)
-        candidates = [
-            Candidate(target_id=name, load=self.board.load(name)) for name in self.engines
-        ]
+        candidates = self._candidates(request.entry)
         if self.policy is not place_prompt:
             return self.policy(prompt, candidates, self.model, self.now_s)
-        demand = self._demand()
+        demand = self._demand(request.entry)
+        backlog = self._backlogs[request.entry]
         placement = place_prompt(prompt, candidates, self.model, self.now_s, demand=demand)
         if placement is None:
-            self._backlog.record_waiting(self.now_s)
-            will_be_late = self._backlog.will_miss_deadline(
+            backlog.record_waiting(self.now_s)
+            will_be_late = backlog.will_miss_deadline(
                 self.now_s,
                 due_in_s=prompt.due_in_s,
                 min_latency_s=min_first_event_s(self.model, prompt.tokens),
@@ -278,15 +326,24 @@
             )
             return Verdict.REFUSE if will_be_late else Verdict.WAIT
         decide_at_s = request.arrived_s + self._decide_share * patience_s(request.kind)
-        waiting_is_futile = prompt.due_in_s <= 0 and self._backlog.is_lasting(self.now_s)
+        waiting_is_futile = prompt.due_in_s <= 0 and backlog.is_lasting(self.now_s)
         must_decide = waiting_is_futile or self.now_s >= decide_at_s
         verdict = evaluate_placement(placement, prompt, demand, must_decide=must_decide)
         return placement if verdict is Verdict.PLACE else verdict
 
-    def _demand(self):
-        """Return the expected demand."""
-        loads = [self.board.load(name) for name in self.engines]
-        waiting = [self._prompt(request) for request in self._waiting]
+    def _candidates(self, entry):
+        board = self.boards[entry]
+        candidates = []
+        for name in self._subsets[entry]:
+            load = board.load(name)
+            further = self._describe(entry, name, load, self.now_s, self._delays_s[entry])
+            candidates.append(Candidate(target_id=name, load=load, **further))
+        return candidates
+
+    def _demand(self, entry):
+        """Return the demand that an entry expects."""
+        loads = [self.boards[entry].load(name) for name in self._subsets[entry]]
+        waiting = [self._prompt(request) for request in self._waiting if request.entry == entry]
         return expected_demand(loads, waiting, self.model, self.now_s)
 
     def _start(self, request, placement):
@@ -303,7 +360,7 @@
             works.append(
                 Work(
                     work_id=work_id,
-                    owner="play",
+                    owner=f"entry {request.entry}",
                     target_id=name,
                     read_s=read_s(self.model, request.tokens) / len(members),
                     read_tokens=part,
@@ -316,8 +373,31 @@
                     placed_s=self.now_s,
                 )
             )
-            self._add_prefill(self.engines[name], work_id, part, is_gang_part=len(members) > 1)
-        self.board.add(works)
+            engine = self.engines[name]
+            if writes and len(engine.hosted) >= self.model.slots:
+                request.place_was_taken = True
+                engine.queue.append((work_id, part, len(members) > 1))
+                continue
+            if writes:
+                engine.hosted.add(work_id)
+            self._add_prefill(engine, work_id, part, is_gang_part=len(members) > 1)
+        self._tell(request.entry, lambda board, now_s: board.add([replace(w) for w in works]))
+
+    def _tell(self, entry, action):
+        """Apply a change to the board of its entry, and to the others when they learn of it."""
+        action(self.boards[entry], self.now_s)
+        for other in self._sharing[entry]:
+            due_s = self.now_s + self._delays_s[other]
+            board = self.boards[other]
+            self._schedule(due_s, lambda board=board: action(board, self.now_s))
+
+    def _free_slot(self, engine, work_id):
+        """Free the slot of a request, and give it to the first one that waits at the engine."""
+        engine.hosted.discard(work_id)
+        if engine.queue and len(engine.hosted) < self.model.slots:
+            queued_id, part, is_gang_part = engine.queue.pop(0)
+            engine.hosted.add(queued_id)
+            self._add_prefill(engine, queued_id, part, is_gang_part=is_gang_part)
 
     def _add_prefill(self, engine, work_id, tokens, *, is_gang_part):
         prefill = _Prefill(work_id, tokens, is_gang_part=is_gang_part)
@@ -370,7 +450,10 @@
             request.first_s = self.now_s
             placement = self._placements[writer.work_id]
             members = (placement.host_id, *placement.helper_ids)
-            self.board.record_first_event(writer.work_id, members, self.now_s)
+            self._tell(
+                request.entry,
+                lambda board, now_s: board.record_first_event(writer.work_id, members, now_s),
+            )
         else:
             gap_s = self.now_s - request.last_event_s
             request.longest_gap_s = max(request.longest_gap_s, gap_s)
@@ -381,7 +464,11 @@
             request.ended_s = self.now_s
             placement = self._placements.pop(writer.work_id)
             members = (placement.host_id, *placement.helper_ids)
-            self.board.remove(writer.work_id, members, self.now_s)
+            self._tell(
+                request.entry,
+                lambda board, now_s: board.remove(writer.work_id, members, now_s),
+            )
+            self._free_slot(engine, writer.work_id)
 
     def _end_prefill(self, work_id):
         self._remaining_parts[work_id] -= 1
