--- a/src/cicadatiller/gateway/__init__.py
+++ b/src/cicadatiller/gateway/__init__.py
@@ -1,6 +1,8 @@
 """The HTTP/1.1 gateway of an entry: admits, schedules and forwards the requests of callers."""
 
+from ._catch_up import CatchUp, answer_request
 from ._contention import Contention
+from ._followers import TopicFollower
 from ._node import Bounds, NodeSettings
 from ._orders import EngineClient, EngineReport, ReserveResult
 from ._process import Gateway
@@ -10,6 +12,7 @@
 
 __all__ = [
     "Bounds",
+    "CatchUp",
     "Contention",
     "EngineClient",
     "EngineReport",
@@ -20,5 +23,7 @@
     "ReserveResult",
     "SettingsWatch",
     "TargetFields",
+    "TopicFollower",
     "WireCodec",
+    "answer_request",
 ]
--- a/src/cicadatiller/gateway/_catch_up.py
+++ b/src/cicadatiller/gateway/_catch_up.py
@@ -78,19 +78,23 @@
             others = [peer for peer in ahead if peer != asked]
             asked = random.choice(others or ahead)
             pause_s = min(MAX_PAUSE_S, 2 * pause_s)
-            while await self._ask(asked, topic, follower):
+            complete_until = follower.next_offset or 0
+            while await self._ask(asked, topic, follower, complete_until):
                 pause_s = OWN_READ_DELAY_S
 
     def _peers_ahead(self, topic: Topic, follower: TopicFollower) -> list[str]:
         known = follower.next_offset or 0
         return [peer for peer, offset in self._peer_offsets[topic].items() if offset > known]
 
-    async def _ask(self, peer: str, topic: Topic, follower: TopicFollower) -> bool:
+    async def _ask(
+        self, peer: str, topic: Topic, follower: TopicFollower, complete_until: int
+    ) -> bool:
         """Ask a peer for one page; return whether it had records that were missing."""
         before = follower.next_offset or 0
         if self._peer_offsets[topic].get(peer, 0) <= before:
             return False
-        reply = await self._request(peer, TopicRequest(topic=topic.value, from_offset=before))
+        request = TopicRequest(topic=topic.value, from_offset=before, complete_until=complete_until)
+        reply = await self._request(peer, request)
         if reply is None:
             return False
         page = _to_page(reply)
@@ -102,7 +106,7 @@
             offset=page.next_offset,
             records=len(page.records),
         )
-        follower.apply_catch_up(page, is_complete=reply.is_complete)
+        follower.apply_catch_up(page, is_complete=reply.is_complete, complete_until=complete_until)
         return (follower.next_offset or 0) > before
 
 
@@ -114,7 +118,9 @@
     follower = by_name.get(request.topic)
     if follower is None:
         return None
-    since = follower.page_since(request.from_offset, max_bytes=MAX_PAGE_BYTES)
+    since = follower.page_since(
+        request.from_offset, complete_until=request.complete_until, max_bytes=MAX_PAGE_BYTES
+    )
     if since is None:
         return None
     records = [StoreRecord(offset=r.offset, key=r.key, value=r.value) for r in since.page.records]
--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -20,6 +20,9 @@
 MAX_RETRY_DELAY_S = 1.0
 RETRY_JITTER = 0.3
 READ_JITTER = 0.5
+# After this many reads in a row with new records, only the newest record of each key is read, since
+# the records between would delay it.
+MAX_READS_OF_ALL_RECORDS = 2
 # The removals that are kept for peers that are behind.
 MAX_REMOVALS = 1024
 # Without a successful read by any entry for this time, the store counts as having had an outage.
@@ -73,6 +76,8 @@
         wait_s: Maximum time for which a long poll waits for a record.
         interval_s: Maximum age of the newest read by any entry; after it this entry reads. 0 to
             read without a pause.
+        change_interval_s: Minimum time between the end of a read with new records and the next
+            read. Records that come faster are read together.
         on_read: Called with the topic, the first offset and the page that this entry read.
         on_change: Called after records were applied, from the store or from a peer.
         on_store_recovered: Called when records can be read again after an outage of the store.
@@ -89,6 +94,7 @@
         sink: TopicSink,
         wait_s: float = 0.0,
         interval_s: float = 0.0,
+        change_interval_s: float = 0.0,
         on_read: Callable[[Topic, int, KeyedPage], None] = lambda topic, from_offset, page: None,
         on_change: Callable[[], None],
         on_store_recovered: Callable[[], None] = lambda: None,
@@ -99,6 +105,8 @@
         self._sink = sink
         self._wait_s = wait_s
         self._interval_s = interval_s
+        self._change_interval_s = change_interval_s
+        self._reads_with_records = 0
         self._on_read = on_read
         self._on_change = on_change
         self._on_store_recovered = on_store_recovered
@@ -148,16 +156,18 @@
             self._read_due_s = self._loop.time() + delay_s
             self._wake_up.set()
 
-    def page_since(self, offset: int, *, max_bytes: int) -> CatchUpPage | None:
+    def page_since(self, offset: int, *, complete_until: int, max_bytes: int) -> CatchUpPage | None:
         """Return what an entry lacks that has read up to `offset`; None if it lacks nothing.
 
         Args:
             offset: The entry's next offset; 0 if it has read nothing.
+            complete_until: The offset up to which it knows all removals; 0 if it had no records
+                before the first page.
             max_bytes: The size of the values after which a page ends, unless it is complete.
         """
         if self.next_offset is None or offset >= self.next_offset:
             return None
-        if 0 < offset < self._removals_from_offset:
+        if 0 < complete_until < self._removals_from_offset:
             return CatchUpPage(page=self._page(self._newest.values()), is_complete=True)
         changed = [r for r in self._newest.values() if r.offset >= offset]
         changed += [r for r in self._removals.values() if r.offset >= offset]
@@ -170,7 +180,9 @@
                 return CatchUpPage(page=part, is_complete=False)
         return CatchUpPage(page=self._page(changed), is_complete=False)
 
-    def apply_catch_up(self, page: KeyedPage, *, is_complete: bool) -> None:
+    def apply_catch_up(
+        self, page: KeyedPage, *, is_complete: bool, complete_until: int = 0
+    ) -> None:
         """Apply the records with which a peer brought this entry up to date.
 
         They do not count as a read of the store, as the peer may have read them long ago.
@@ -178,13 +190,17 @@
         Args:
             page: The records.
             is_complete: Whether `page` has the newest record of every key.
+            complete_until: The offset up to which this entry knew all removals; 0 if it had no
+                records before the first page.
         """
         if page.next_offset <= (self.next_offset or 0):
             return
         if is_complete:
             self._replace(page)
-        else:
-            self._apply(page)
+            return
+        if not complete_until:
+            self._removals_from_offset = page.next_offset
+        self._apply(page)
 
     def apply_read_of_peer(self, from_offset: int, page: KeyedPage) -> None:
         """Apply records that a peer has just read from the store.
@@ -202,7 +218,11 @@
         self._apply(page)
 
     async def _wait_until_due(self) -> None:
-        if self.next_offset is None or self._interval_s == 0:
+        if self.next_offset is None:
+            return
+        if self._interval_s == 0:
+            if self._reads_with_records:
+                await self._sleep(self._change_interval_s)
             return
         interval_s = self._interval_s * random.uniform(1.0, 1.0 + READ_JITTER)
         while True:
@@ -234,7 +254,7 @@
 
     async def _read_once(self) -> None:
         from_offset = self.next_offset
-        if from_offset is None:
+        if from_offset is None or self._reads_with_records >= MAX_READS_OF_ALL_RECORDS:
             await self._read_newest()
             return
         try:
@@ -244,6 +264,7 @@
             return
         self._record_success()
         self._record_read()
+        self._count_read(has_records=bool(page.records))
         self._apply(page)
         self._on_read(self._topic, from_offset, page)
 
@@ -251,18 +272,24 @@
         page = await self._log.read_newest(self._topic)
         self._record_success()
         self._record_read()
-        self._replace(page)
+        is_new = self.next_offset is None or page.next_offset > self.next_offset
+        self._count_read(has_records=is_new and self.next_offset is not None)
+        if is_new:
+            self._replace(page)
+
+    def _count_read(self, *, has_records: bool) -> None:
+        self._reads_with_records = self._reads_with_records + 1 if has_records else 0
 
     def _apply(self, page: KeyedPage) -> None:
+        """Apply the newest record of each key; those before it have no effect any more."""
         grace_s = self._grace_s()
         known = self.next_offset or 0
-        for record in page.records:
-            if record.offset < known:
-                continue
+        newest = {record.key: record for record in page.records if record.offset >= known}
+        for record in newest.values():
             self._update_newest(record)
             self._sink.apply(record, grace_s=grace_s)
         self.next_offset = max(known, page.next_offset)
-        if page.records:
+        if newest:
             self._on_change()
 
     def _replace(self, page: KeyedPage) -> None:
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -35,6 +35,9 @@
 from ._wire import WireCodec
 
 CONFIGURATION_LONG_POLL_S = 10.0
+# Of the time in which a configuration has to be in force: versions that follow each other faster
+# are read together, so that all of them reach an instance with a slow link in time.
+CHANGE_INTERVAL_SHARE = 0.15
 # Peers announce how many registrations of entries they have read, so that few reads are needed.
 MEMBERS_READ_INTERVAL_S = 60.0
 SWEEP_INTERVAL_S = 1.0
@@ -117,6 +120,12 @@
             metrics_path=self._settings.metrics_path,
         )
 
+    @property
+    def config_version(self) -> int:
+        """Return the version of the configuration in force; 0 before the first."""
+        table = self._configuration.table
+        return 0 if table is None else table.version
+
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve callers until `stopping` is set, then shut down gracefully."""
         self._stall.start()
@@ -218,6 +227,7 @@
                 topic=Topic.CONFIGURATION,
                 sink=self._configuration,
                 wait_s=CONFIGURATION_LONG_POLL_S,
+                change_interval_s=CHANGE_INTERVAL_SHARE * self._node.bounds.config_converge_s,
                 on_change=self._on_configuration_change,
             ),
             Topic.TARGETS: TopicFollower(
@@ -410,10 +420,9 @@
         self._caller_server.limits = table.limits
 
     def _gauges(self) -> dict[str, float]:
-        table = self._configuration.table
         return {
             "stalls": self._stall.stalls,
-            "config_version": 0 if table is None else table.version,
+            "config_version": self.config_version,
             "caller_connections": self._caller_server.open_connections,
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -173,10 +173,13 @@
     Attributes:
         topic: The value of the `Topic`.
         from_offset: The first offset that the sender lacks; 0 if it has no records.
+        complete_until: The offset up to which the sender knew all records, removals included, before
+            the first request of a series; 0 if it had no records then.
     """
 
     topic: str
     from_offset: int = 0
+    complete_until: int = 0
 
 
 @message("mesh-topic-page")
