--- a/src/cicadatiller/cli/_app.py
+++ b/src/cicadatiller/cli/_app.py
@@ -69,7 +69,6 @@
 app.command("drain")(_reading.drain)
 app.command("ask")(_requests.ask)
 app.command("call")(_requests.call)
-app.command("check-settings")(check_settings)
 
 
 def main() -> None:
--- a/src/cicadatiller/cli/_demo.py
+++ b/src/cicadatiller/cli/_demo.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from connectrpc.code import Code
 from connectrpc.errors import ConnectError
 
 from ..backing import Instance, InstanceKind
@@ -38,6 +39,7 @@
 ENGINE_KV_TOKENS = 120_000
 BASE_PORT = 18_440
 READY_TIMEOUT_S = 10.0
+RETRY_DELAY_S = 0.5
 # Faster engines than those of the bench, so that the demo ends within seconds.
 ENGINE_MODEL = EngineModel(
     kv_capacity_tokens=ENGINE_KV_TOKENS, step_base_s=0.004, prefill_token_s=1 / 200_000
@@ -225,14 +227,8 @@
             max_output_tokens=output_tokens,
             time_limit_ms=20_000,
         )
-        started_s = time.monotonic()
-        first_s = 0.0
-        texts: list[str] = []
         try:
-            for response in self._clients[0].generate(request, headers=self._headers):
-                if response.event is not None and response.event.field == "tokens":
-                    first_s = first_s or time.monotonic() - started_s
-                    texts.extend(response.event.value.texts)
+            first_s, texts = self._read_tokens(request)
         except ConnectError as error:
             self._print_line(f"{title} ({prompt_tokens} tokens) failed: {error}")
             return False
@@ -243,6 +239,24 @@
         )
         return whole
 
+    def _read_tokens(self, request: serving_pb.GenerateRequest) -> tuple[float, list[str]]:
+        """Return the time to the first token and all tokens; retries refusals that allow it."""
+        started_s = time.monotonic()
+        first_s = 0.0
+        texts: list[str] = []
+        while True:
+            try:
+                for response in self._clients[0].generate(request, headers=self._headers):
+                    if response.event is not None and response.event.field == "tokens":
+                        first_s = first_s or time.monotonic() - started_s
+                        texts.extend(response.event.value.texts)
+                return first_s, texts
+            except ConnectError as error:
+                is_late = time.monotonic() - started_s > READY_TIMEOUT_S
+                if error.code is not Code.UNAVAILABLE or texts or is_late:
+                    raise
+                time.sleep(RETRY_DELAY_S)
+
     def _confirm_order_twice(self) -> bool:
         opened = self._clients[0].open_request(
             serving_pb.OpenRequestRequest(service="dispatch"), headers=self._headers
--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -93,6 +93,7 @@
         self._write_paused = False
         self._matches_request: Callable[[ResponseHead], bool] | None = None
         self._is_discarding = False
+        self._refusal = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its write buffer limit."""
@@ -114,11 +115,8 @@
             if self._is_complete:
                 self._may_reuse = False
             else:
-                self._fail(
-                    MalformedResponseError(
-                        f"cannot parse the response from {self.address}: {error}"
-                    )
-                )
+                reason = self._refusal or f"cannot parse the response: {error}"
+                self._fail(MalformedResponseError(f"{reason} (from {self.address})"))
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -151,7 +149,7 @@
             return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
-            raise MalformedResponseError(f"response headers exceed {MAX_HEAD_BYTES} bytes")
+            self._refuse(f"response headers exceed {MAX_HEAD_BYTES} bytes")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -173,7 +171,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body and pause reading while the buffer is full."""
         if self._is_complete:
-            raise MalformedResponseError("received data after the end of the response")
+            self._refuse("received data after the end of the response")
         if self._is_discarding:
             return
         self._body.append(body)
@@ -188,12 +186,17 @@
         if not self._has_head:
             return
         if self._is_complete:
-            raise MalformedResponseError("received a second response to one request")
+            self._refuse("received a second response to one request")
         if self._is_discarding:
             self._is_discarding = False
             return
         self._complete(may_reuse=self._parser.should_keep_alive())
 
+    def _refuse(self, reason: str) -> None:
+        # httptools replaces an exception of a callback by its own, so the reason is kept here.
+        self._refusal = reason
+        raise MalformedResponseError(reason)
+
     def start(
         self, request: bytes, *, matches_request: Callable[[ResponseHead], bool] | None = None
     ) -> None:
--- a/src/cicadatiller/entry/_dispatch.py
+++ b/src/cicadatiller/entry/_dispatch.py
@@ -61,7 +61,7 @@
         ]
         if not serving and self.on_missing is not None:
             self.on_missing(deployment, request.service or request.model)
-        large_enough = self._large_enough(serving, size_of(request), deployment)
+        large_enough = self._large_enough(serving, request, deployment)
         untried = [target for target in large_enough if target.address not in tried]
         now_s = asyncio.get_running_loop().time()
         eject_slow(large_enough, now_s)
@@ -127,8 +127,14 @@
         return target
 
     def _large_enough(
-        self, serving: list[Target], size: RequestSize, deployment: str
+        self, serving: list[Target], request: WorkRequest, deployment: str
     ) -> list[Target]:
+        """Return the targets that can hold a request, alone or as members of a gang.
+
+        It is too large only if all listed engines together can't hold it. Engines that this entry
+        has no report of yet are taken to be as large as the largest known one.
+        """
+        size = size_of(request)
         fitting = [target for target in serving if _fits(target, size)]
         if fitting or not serving:
             return fitting
@@ -138,12 +144,32 @@
         )
         if self._settings(deployment).allow_gangs and gang_capacity_tokens >= size.kv_tokens:
             return gang_members
+        unknown = self._count_unknown_engines(deployment)
+        largest_tokens = max(t.load.kv_capacity_tokens for t in serving if t.load is not None)
+        possible_tokens = gang_capacity_tokens + unknown * largest_tokens
+        may_fit = largest_tokens >= size.kv_tokens or self._settings(deployment).allow_gangs
+        if unknown and may_fit and possible_tokens >= size.kv_tokens:
+            raise fail(
+                ErrorKind.NO_TARGET,
+                f"the engines known so far can't hold {size.kv_tokens} tokens, and {unknown} have "
+                "not reported yet; try again later",
+                retry_after_s=NO_TARGET_RETRY_S,
+            )
         raise fail(
             ErrorKind.TOO_LARGE,
             f"no engine and no gang of engines can hold {size.kv_tokens} tokens; "
             "shorten the prompt",
         )
 
+    def _count_unknown_engines(self, deployment: str) -> int:
+        return sum(
+            target.load is None
+            and not target.leaving
+            and target.instance.deployment == deployment
+            and target.instance.kind is InstanceKind.ENGINE
+            for target in self._view.targets()
+        )
+
     def _settings(self, deployment: str) -> Deployment:
         return self._store.state.deployment(deployment) or Deployment()
 
--- a/src/cicadatiller/entry/_peers.py
+++ b/src/cicadatiller/entry/_peers.py
@@ -139,7 +139,7 @@
         self._connections[address] = connection
         target = self._view.target_at(address)
         if target is not None:
-            target.breaker.record_reachable()
+            target.breaker.record_reachable(asyncio.get_running_loop().time())
         return connection
 
     async def _dial_peer(
--- a/src/cicadatiller/fleet/_breaker.py
+++ b/src/cicadatiller/fleet/_breaker.py
@@ -84,10 +84,10 @@
         if self.is_open:
             self._next_probe_s = now_s + PROBE_TIMEOUT_S
 
-    def record_reachable(self) -> None:
+    def record_reachable(self, now_s: float) -> None:
         """Record that a connection was opened; closes a breaker that was open as unreachable."""
         if self._unreachable:
-            self.record_success()
+            self.record_success(now_s)
 
     def record_success(self, now_s: float = 0.0, *, began_s: float = math.inf) -> None:
         """Record work that succeeded.
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -26,7 +26,6 @@
 OK = 200
 FIRST_NON_SUCCESS = 300
 FIRST_SERVER_ERROR = 500
-MISDIRECTED = 421
 
 # An idempotent call is retried on another target after this multiple of the route's target latency.
 CALL_TIMEOUT_FACTOR = 2.5
--- a/src/cicadatiller/gateway/_redialer.py
+++ b/src/cicadatiller/gateway/_redialer.py
@@ -44,4 +44,4 @@
         finally:
             self._dialing.discard(target.instance_id)
         self._pool.add_idle(connection)
-        target.breaker.record_reachable()
+        target.breaker.record_reachable(asyncio.get_running_loop().time())
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -41,7 +41,6 @@
         remaining_s: The time until the request's deadline.
         workspace: The workspace's name; empty if there is none.
         last_event_id: The id of the event after which to resume a stream; empty for the start.
-        urgency: The rank in the target's queue, 0 (first) to 9; None for the default.
         helpers: Engines that prefill a part of the prompt, as "host:port" or "host:port/ticket".
     """
 
@@ -49,7 +48,6 @@
     remaining_s: float
     workspace: str = ""
     last_event_id: bytes = b""
-    urgency: int | None = None
     helpers: tuple[str, ...] = ()
 
 
--- a/src/cicadatiller/kernel/_log_output.py
+++ b/src/cicadatiller/kernel/_log_output.py
@@ -36,14 +36,12 @@
         fd: The file descriptor; it is set to non-blocking.
 
     Attributes:
-        written_bytes: The size of the lines that were written or are pending.
         left_out: The number of lines left out.
         dropped: The number of lines dropped.
     """
 
     def __init__(self, *, fd: int) -> None:
         os.set_blocking(fd, False)
-        self.written_bytes = 0
         self.left_out = 0
         self.dropped = 0
         self._fd = fd
@@ -55,22 +53,26 @@
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write one message; eliot calls this."""
-        if not self._admit(message):
+        count = self._count_line(message)
+        if count is None:
             return
         if self._unreported_drops:
             message = {**message, "dropped": self._unreported_drops}
+        if count.left_out:
+            message = {**message, "left_out": count.left_out}
         line = orjson.dumps(message, default=repr, option=orjson.OPT_APPEND_NEWLINE)
         if self._pending_bytes + len(line) > MAX_PENDING_BYTES:
             self.dropped += 1
             self._unreported_drops += 1
             return
         self._unreported_drops = 0
-        self.written_bytes += len(line)
+        count.left_out = 0
         self._pending.append(line)
         self._pending_bytes += len(line)
         self._write()
 
-    def _admit(self, message: dict[str, Any]) -> bool:
+    def _count_line(self, message: dict[str, Any]) -> _LineCount | None:
+        """Return the count that a message belongs to; None if it has to be left out."""
         category = (message.get("number", 0), str(message.get("kind", "")))
         count = self._line_counts.get(category)
         if count is None:
@@ -82,12 +84,9 @@
         if count.lines >= MAX_LINES_PER_EVENT:
             count.left_out += 1
             self.left_out += 1
-            return False
+            return None
         count.lines += 1
-        if count.left_out:
-            message["left_out"] = count.left_out
-            count.left_out = 0
-        return True
+        return count
 
     def _write(self) -> None:
         while self._pending:
--- a/src/cicadatiller/membership/_subset.py
+++ b/src/cicadatiller/membership/_subset.py
@@ -8,7 +8,6 @@
 
 SUBSET_SIZE = 32
 LOCAL_TARGETS = 24
-REMOTE_TARGETS = 8
 
 PoolKey = tuple[str, str, str]
 
--- a/src/cicadatiller/membership/_view.py
+++ b/src/cicadatiller/membership/_view.py
@@ -95,7 +95,10 @@
 
     def _put_target(self, instance: Instance) -> None:
         target = self._targets.get(instance.name)
-        if target is None or target.address != instance.address:
+        if target is not None and target.address != instance.address:
+            self._removed_addresses.append(target.address)
+            target = None
+        if target is None:
             self._targets[instance.name] = Target(instance=instance)
             log_event(Event.INSTANCE_SEEN, name=instance.name, address=instance.address)
             return
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -98,6 +98,7 @@
         """Add work; its prefill is assumed to start after all known prefill."""
         self._record_recent(work)
         begin_s = max(work.placed_s, self.prefill_free_s)
+        work.prefill_begin_s = begin_s
         work.prefill_end_s = begin_s + work.read_s * self.pace
         if not work.has_begun:
             self.prefill_free_s = work.prefill_end_s
@@ -128,12 +129,13 @@
         self._recent[work.work_id] = work
 
     def _end_prefill(self, work: Work, now_s: float) -> None:
-        saved_s = work.prefill_end_s - max(now_s, work.prefill_end_s - work.read_s * self.pace)
+        saved_s = work.prefill_end_s - max(now_s, work.prefill_begin_s)
         if saved_s <= 0:
             return
         self.prefill_free_s -= saved_s
         for other in self.works.values():
             if not other.has_begun and other.prefill_end_s > work.prefill_end_s:
+                other.prefill_begin_s -= saved_s
                 other.prefill_end_s -= saved_s
 
 
@@ -201,12 +203,6 @@
             if by_peer:
                 load.freed_by_peer_s = now_s
 
-    def remove_owner(self, owner: str, now_s: float) -> None:
-        """Remove all work that one entry placed, after that entry has left."""
-        for load in self._loads.values():
-            for work in [work for work in load.works.values() if work.owner == owner]:
-                load.remove(work.work_id, now_s)
-
     def forget_target(self, target_id: str) -> None:
         """Discard the load of a target."""
         self._loads.pop(target_id, None)
--- a/src/cicadatiller/placement/_work.py
+++ b/src/cicadatiller/placement/_work.py
@@ -26,7 +26,8 @@
         write_s: The expected decode time.
         placed_s: When the request was placed, on the clock of the entry that holds this object.
         has_begun: Whether the first event was seen.
-        prefill_end_s: When the prefill of this part is expected to end, on the same clock.
+        prefill_begin_s: When the prefill of this part is expected to begin, on the same clock.
+        prefill_end_s: When it is expected to end.
     """
 
     work_id: str
@@ -43,6 +44,7 @@
     write_s: float = 0.0
     placed_s: float = 0.0
     has_begun: bool = False
+    prefill_begin_s: float = 0.0
     prefill_end_s: float = 0.0
 
     @property
--- a/src/cicadatiller/platform/__main__.py
+++ b/src/cicadatiller/platform/__main__.py
@@ -63,7 +63,7 @@
     try:
         node = load_node_settings(path)
     except PlatformSettingsError as error:
-        print(f"{path}: {error}", file=sys.stderr)
+        print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     if settings is None:
         return EXIT_BAD_SETTINGS
--- a/src/cicadatiller/platform/_deploy.py
+++ b/src/cicadatiller/platform/_deploy.py
@@ -55,9 +55,12 @@
             f"{prefix}share: expected a number greater than 0 and at most 1; found {share!r}"
         )
     serves = role.get("serves", [])
-    if not isinstance(serves, list) or not set(map(str, serves)) <= set(SERVES_VALUES):
+    values = _served_values(role)
+    is_valid = isinstance(serves, list) and set(values) <= set(SERVES_VALUES)
+    if not is_valid or len(set(values)) < len(values):
         problems.append(
-            f"{prefix}serves: expected a list of {', '.join(SERVES_VALUES)}; found {serves!r}"
+            f"{prefix}serves: expected a list of {', '.join(SERVES_VALUES)}, each at most once; "
+            f"found {serves!r}"
         )
     metrics = role.get("metrics")
     if metrics is not None and not METRICS_PATTERN.fullmatch(str(metrics)):
@@ -65,6 +68,11 @@
     return problems
 
 
+def _served_values(role: dict[str, Any]) -> list[str]:
+    serves = role.get("serves", [])
+    return [str(value) for value in serves] if isinstance(serves, list) else []
+
+
 def _class_problems(roles: dict[str, Any]) -> list[str]:
     problems = []
     for name in MACHINE_CLASSES:
@@ -73,8 +81,8 @@
         ]
         if len(on_class) > MAX_ROLES_PER_CLASS:
             problems.append(f"roles: at most {MAX_ROLES_PER_CLASS} roles may run on {name!r}")
-        served = [service for role in on_class for service in role.get("serves", [])]
-        if len(served) != len(set(map(str, served))):
+        served = [value for role in on_class for value in set(_served_values(role))]
+        if len(served) != len(set(served)):
             problems.append(f"roles: two roles on {name!r} list the same value in serves")
     return problems
 
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -91,8 +91,6 @@
             headers.append((b"Tenant", fields.workspace.encode()))
         if fields.last_event_id:
             headers.append((b"Last-Event-Id", fields.last_event_id))
-        if fields.urgency is not None:
-            headers.append((b"Request-Urgency", b"%d" % fields.urgency))
         if fields.helpers:
             headers.append((b"Helpers", ",".join(fields.helpers).encode()))
         return render_request(request.method, request.target, headers, request.body)
--- a/src/cicadatiller/platform/_orders.py
+++ b/src/cicadatiller/platform/_orders.py
@@ -10,7 +10,7 @@
 MAX_RESPONSE_BYTES = 64 * 1024
 
 OK = 200
-CONFLICT = 409
+FIRST_SERVER_ERROR = 500
 
 
 class PlatformEngineClient:
@@ -40,12 +40,14 @@
         status = await self._send(address, order)
         if status == OK:
             return ReserveResult.HELD
-        return ReserveResult.UNKNOWN if status is None else ReserveResult.NO_ROOM
+        # A server error does not tell whether the order was carried out.
+        is_unknown = status is None or status >= FIRST_SERVER_ERROR
+        return ReserveResult.UNKNOWN if is_unknown else ReserveResult.NO_ROOM
 
     async def release(self, address: str, ticket: str) -> bool:
         """End a reservation; return whether the engine confirmed it."""
         status = await self._send(address, {"operation": "release", "id": ticket})
-        return status is not None and status < 500
+        return status is not None and status < FIRST_SERVER_ERROR
 
     async def report(self, address: str) -> EngineReport | None:
         """Return an engine's report; None if it does not respond or the report is unreadable."""
--- a/src/cicadatiller/platform/_settings.py
+++ b/src/cicadatiller/platform/_settings.py
@@ -6,6 +6,7 @@
 
 from ..gateway import Bounds, NodeSettings
 
+MAX_PORT = 65_535
 SETTINGS_PATH_VARIABLE = "CICADATILLER_SETTINGS"
 
 
@@ -21,9 +22,14 @@
     """
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except OSError as error:
+        raise PlatformSettingsError(f"cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise PlatformSettingsError(f"{path} is not valid TOML: {error}") from error
+    try:
+        return parse_node_settings(document)
+    except PlatformSettingsError as error:
         raise PlatformSettingsError(f"{path}: {error}") from error
-    return parse_node_settings(document)
 
 
 def parse_node_settings(document: dict[str, Any]) -> NodeSettings:
@@ -35,14 +41,13 @@
     reader = _TableReader(document)
     bounds = reader.table("bounds")
     listen = reader.table("listen")
-    ports = reader.list_of(int, "internal_port_range")
     node = NodeSettings(
         name=reader.text("node_name"),
         data_centre=reader.text("zone"),
         host=reader.text("ip"),
         caller_address=listen.text("front"),
         readiness_address=listen.text("ready"),
-        peer_port=ports[0] if ports else 0,
+        peer_port=reader.first_port("internal_port_range"),
         store_address=reader.table("platform").text("address"),
         bounds=Bounds(
             shutdown_s=bounds.number("grace_s"),
@@ -84,12 +89,15 @@
             return 0.0
         return float(value)
 
-    def list_of(self, kind: type[Any], name: str) -> list[Any]:
+    def first_port(self, name: str) -> int:
+        """Return the first port of a range, given as a list of its first and last port."""
         value = self._document.get(name)
-        if not isinstance(value, list) or not all(isinstance(item, kind) for item in value):
-            self._add_problem(name, f"a list of {kind.__name__}")
-            return []
-        return value
+        ports = value if isinstance(value, list) else []
+        are_valid = all(isinstance(port, int) and 0 < port <= MAX_PORT for port in ports)
+        if not ports or not are_valid:
+            self._add_problem(name, f"a list of ports from 1 to {MAX_PORT}")
+            return 0
+        return int(ports[0])
 
     def table(self, name: str) -> "_TableReader":
         value = self._document.get(name)
--- a/src/cicadatiller/sidecar/_orders.py
+++ b/src/cicadatiller/sidecar/_orders.py
@@ -26,6 +26,8 @@
 UNLOAD_DELAY_S = 3.0
 FIRST_RETRY_S = 1.0
 RETRY_LIMIT_S = 60.0
+# The key of errors and retries of orders that load no model.
+OTHER_ORDERS = "order"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -120,6 +122,7 @@
         plan = self._planner.plan(self._store.state, info.loaded)
         if plan is None:
             return
+        self._forget_unwanted(plan)
         info = await self._refresh_info(info)
         if info is None:
             return
@@ -127,6 +130,12 @@
         if step is not None:
             await self._send_step(step, info)
 
+    def _forget_unwanted(self, plan: Plan) -> None:
+        """Drop the errors of models that are not to be loaded any more."""
+        wanted = {str(ref) for item in plan.wanted for ref in item.refs}
+        for key in set(self.errors) - wanted - {OTHER_ORDERS}:
+            del self.errors[key]
+
     async def _refresh_info(self, info: EngineInfo) -> EngineInfo | None:
         """Return the engine's description, refreshed every `DESCRIBE_INTERVAL_S`.
 
@@ -208,7 +217,7 @@
         return True
 
     async def _send_step(self, step: OrderStep, info: EngineInfo) -> None:
-        key = str(step.load_ref) if step.load_ref else "order"
+        key = str(step.load_ref) if step.load_ref else OTHER_ORDERS
         if self._is_backing_off(key):
             return
         if step.load_ref is not None and not await self._has_permit(step.load_ref, key):
--- a/src/cicadatiller/sidecar/_peers.py
+++ b/src/cicadatiller/sidecar/_peers.py
@@ -56,8 +56,7 @@
         self._connections: dict[str, PeerConnection] = {}
         self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._last_used_s: dict[str, float] = {}
-        self._loads: dict[str, LoadReport] = {}
-        self._load_events: dict[str, asyncio.Event] = {}
+        self._load_requests: defaultdict[str, list[asyncio.Future[LoadReport]]] = defaultdict(list)
 
     def update_instances(self, listed: tuple[Instance, ...]) -> None:
         """Apply the platform's list of instances; an empty one, as in an outage, is ignored."""
@@ -83,17 +82,18 @@
 
     async def load(self, address: str) -> LoadReport | None:
         """Request the load of a sidecar; None if it is unreachable or does not reply in time."""
-        self._loads.pop(address, None)
-        load_event = asyncio.Event()
-        self._load_events[address] = load_event
+        reply: asyncio.Future[LoadReport] = asyncio.get_running_loop().create_future()
+        self._load_requests[address].append(reply)
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 connection = await self.get(address)
                 await connection.send(Ping(config_offset=self._store.state.offset))
-                await load_event.wait()
+                return await reply
         except (PeerLostError, TimeoutError):
             await self.drop(address)
-        return self._loads.get(address)
+            return None
+        finally:
+            self._load_requests[address].remove(reply)
 
     async def get(self, address: str) -> PeerConnection:
         """Return an open connection, dialled if there is none; raises `PeerLostError`."""
@@ -140,7 +140,6 @@
         )
 
     def _record_load(self, address: str, load: LoadReport) -> None:
-        self._loads[address] = load
-        load_event = self._load_events.get(address)
-        if load_event is not None:
-            load_event.set()
+        for reply in self._load_requests[address]:
+            if not reply.done():
+                reply.set_result(load)
--- a/src/cicadatiller/sidecar/_scheduler.py
+++ b/src/cicadatiller/sidecar/_scheduler.py
@@ -93,10 +93,6 @@
             self._push(ticket)
         self.wake()
 
-    def waiting(self) -> tuple[Ticket, ...]:
-        """Return the waiting requests."""
-        return self._policy.tickets()
-
     def used_tokens(self) -> int:
         """Return the KV of running requests and holds."""
         return self.memory.used_tokens
--- a/src/cicadatiller/standins/_engine.py
+++ b/src/cicadatiller/standins/_engine.py
@@ -95,6 +95,7 @@
     def restart(self, epoch: str) -> None:
         """Crash and run again under a new epoch; the loaded models and the role stay."""
         self.crash()
+        self._load_history.clear()
         self._epoch = epoch
         self._fence = 0
         self.down = False
--- a/src/cicadatiller/standins/_log.py
+++ b/src/cicadatiller/standins/_log.py
@@ -11,14 +11,13 @@
     """An in-memory append-only log with configurable faults.
 
     Attributes:
-        down: Whether every call fails before it takes effect.
         lose_replies: The number of upcoming appends that take effect and then fail.
         delay_s: The delay of each call.
         appends: The number of records appended.
     """
 
     def __init__(self) -> None:
-        self.down = False
+        self._down = False
         self.lose_replies = 0
         self.delay_s = 0.0
         self.appends = 0
@@ -26,6 +25,17 @@
         self._trimmed: dict[str, int] = defaultdict(int)
         self._appended = asyncio.Event()
 
+    @property
+    def down(self) -> bool:
+        """Whether every call fails before it takes effect, waiting reads included."""
+        return self._down
+
+    @down.setter
+    def down(self, down: bool) -> None:
+        self._down = down
+        self._appended.set()
+        self._appended = asyncio.Event()
+
     async def append(self, stream: str, payload: bytes) -> int:
         """Append a record and return its offset."""
         await self._apply_faults()
--- a/tests/support/target_proxies.py
+++ b/tests/support/target_proxies.py
@@ -4,22 +4,18 @@
 
 from cicadatiller.targets import TargetUnreachableError
 
-CALL_TIMEOUT_S = 2.0
-
 
 class TargetProxy:
     """Forwards calls to a target.
 
     Attributes:
         sidecar_dead: Whether the sidecar was killed; its calls fail without an effect.
-        unresponsive: Whether calls and output fail after `CALL_TIMEOUT_S` without a reply.
         on_call: Called with ("before" or "after", method, arguments) of each call; may raise.
     """
 
     def __init__(self, target) -> None:
         self.target = target
         self.sidecar_dead = False
-        self.unresponsive = False
         self.on_call = None
         self._running = asyncio.Event()
         self._running.set()
@@ -33,11 +29,8 @@
         self._running.set()
 
     async def wait_until_passable(self) -> None:
-        """Wait while paused; raise if the target is unresponsive or the sidecar is dead."""
+        """Wait while paused; raise if the sidecar is dead."""
         await self._running.wait()
-        if self.unresponsive:
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            raise TargetUnreachableError("the target did not respond in time")
         if self.sidecar_dead:
             raise TargetUnreachableError("the sidecar was killed")
 
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -121,6 +121,23 @@
 
                 self.assertFalse(self.run_paused(scenario()).finish())
 
+    def test_error_of_a_malformed_response_tells_what_is_wrong(self):
+        headers = b"".join(b"X-%d: %s\r\n" % (number, b"v" * 1000) for number in range(100))
+        cases = {
+            "headers exceed": b"HTTP/1.1 200 OK\r\n" + headers + b"\r\n",
+            "cannot parse": b"garbage\r\n\r\n",
+        }
+        for text, data in cases.items():
+            with self.subTest(text):
+
+                async def scenario(data=data):
+                    connection = await self.connect(send_parts(data))
+                    with self.assertRaises(MalformedResponseError) as caught:
+                        await self.ask(connection)
+                    return str(caught.exception)
+
+                self.assertIn(text, self.run_paused(scenario()))
+
     def test_interim_responses_are_skipped(self):
         async def scenario():
             interim = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/tests/test_gang.py
+++ b/tests/test_gang.py
@@ -335,3 +335,15 @@
                 self.assertEqual(fleet.kv_used_tokens(), 0)
 
         self.run_paused(scenario())
+
+    def test_prompt_is_not_too_large_while_engines_are_still_unknown(self):
+        async def scenario():
+            async with small_fleet() as fleet:
+                for target in fleet.entries[0].view.targets()[1:]:
+                    target.clear_load()
+                outcome = await self.start_huge_request(fleet, "a")
+                self.assertIs(outcome.failure.kind, ErrorKind.NO_TARGET)
+                self.assertIs(outcome.failure.run_state, RunState.NOT_RUN)
+                self.assertGreater(outcome.failure.retry_after_s, 0)
+
+        self.run_paused(scenario())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -113,9 +113,6 @@
 
 
 class RetryTest(GatewayCase):
-    def script(self, fleet, step, *, target="t-1"):
-        fleet.targets[target].script = step
-
     def fail_first(self, fleet, step):
         """Script a step for the first request at any target; all later requests succeed."""
         seen = []
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -334,6 +334,24 @@
         breaker.record_success(12.0, began_s=11.5)
         self.assertFalse(breaker.is_open)
 
+    def test_relapse_soon_after_a_connection_was_opened_delays_the_next_probe(self):
+        breaker = Breaker(name="t-1")
+        breaker.record_failure(100.0, unreachable=True)
+        breaker.record_reachable(110.0)
+        for _ in range(3):
+            breaker.record_failure(111.0)
+        self.assertTrue(breaker.is_open)
+        self.assertFalse(breaker.is_probe_due(112.35))
+        self.assertTrue(breaker.is_probe_due(114.0))
+
+    def test_opened_connection_outweighs_failures_of_peers(self):
+        breaker = Breaker(name="t-1")
+        breaker.record_failure(100.0, unreachable=True)
+        breaker.record_reachable(110.0)
+        for peer in ("a", "b", "c"):
+            breaker.record_peer_failure(peer, 110.5)
+        self.assertFalse(breaker.is_open)
+
 
 class PeerFailureTest(unittest.TestCase):
     def test_failures_of_one_peer_do_not_open_the_breaker_at_once(self):
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -71,6 +71,14 @@
         self.assertEqual(len(before), count - dropped)
         self.assertEqual(last[0]["dropped"], dropped)
 
+    def test_number_of_lines_left_out_survives_a_dropped_line(self):
+        for number in range(MAX_LINES_PER_EVENT + 25):
+            self.log(n=number)
+        self.log(timestamp=1.5, text="x" * (MAX_PENDING_BYTES + 1))
+        self.log(timestamp=1.6)
+        last = self.lines()[-1]
+        self.assertEqual((last["dropped"], last["left_out"]), (1, 25))
+
     def test_closed_reader_raises_nothing(self):
         reader, writer = os.pipe()
         output = LogOutput(fd=writer)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
 from cicadatiller.backing import Instance, InstanceKind
 from cicadatiller.entry._attempts import AttemptTracker
@@ -96,7 +97,7 @@
             target.breaker.record_failure(0.0, unreachable=True)
         for step in range(600):
             self.assertEqual(usable_targets(pool, step * 0.1), pool[:1])
-        pool[2].breaker.record_reachable()
+        pool[2].breaker.record_reachable(59.0)
         self.assertEqual(usable_targets(pool, 60.0), (pool[0], pool[2]))
 
     def test_a_partition_does_not_empty_a_pool(self):
@@ -145,6 +146,21 @@
 
         self.run_paused(scenario())
 
+    def test_address_of_a_target_that_moved_counts_as_removed(self):
+        async def scenario():
+            listed = InstanceListStandin()
+            view = InstanceView(instances=listed)
+            listed.put(engine(0))
+            await view.refresh()
+            old = view.targets()[0].address
+            listed.put(replace(engine(0), address="10.9.9.9:9100"))
+            await view.refresh()
+            self.assertEqual(view.targets()[0].address, "10.9.9.9:9100")
+            self.assertTrue(view.was_removed(old))
+            self.assertFalse(view.was_removed("10.9.9.9:9100"))
+
+        self.run_paused(scenario())
+
     def test_leaving_target_stays_leaving(self):
         async def scenario():
             listed = InstanceListStandin()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -310,6 +310,22 @@
 
         self.run_paused(scenario())
 
+    def test_error_of_a_version_that_is_no_longer_wanted_is_dropped(self):
+        async def scenario():
+            async with OrdersFleet() as fleet:
+                await fleet.add_engines(1)
+                await fleet.until_all_serve(V1)
+                fleet.weights.down = True
+                await fleet.set_version("v2")
+                await asyncio.sleep(20)
+                sidecar = fleet.sidecars["engine-0"]
+                self.assertIn("v2", sidecar.service.load_report().order_error)
+                await fleet.set_version("v1")
+                await asyncio.sleep(10)
+                self.assertEqual(sidecar.service.load_report().order_error, "")
+
+        self.run_paused(scenario())
+
 
 class FenceTest(PausedCase):
     async def add_second_holder(self, fleet):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -410,6 +410,16 @@
         self.assertEqual(load.prefill_wait_s(10.5), 0.0)
         self.assertEqual(load.in_flight, 1)
 
+    def test_prefill_that_ends_early_frees_the_time_with_which_it_was_counted(self):
+        load = TargetLoad()
+        load.add(Work(work_id="a", owner="x", target_id="t", read_s=1.0, placed_s=0.0))
+        load.add(Work(work_id="b", owner="x", target_id="t", read_s=1.0, placed_s=0.0))
+        load.record_pace(4.0)
+        load.remove("b", 0.5)
+        self.assertAlmostEqual(load.prefill_free_s, 1.0)
+        load.remove("a", 0.5)
+        self.assertAlmostEqual(load.prefill_free_s, 0.5)
+
     def test_helpers_end_after_prefill_unless_they_hold_kv_cache(self):
         board = LoadBoard()
         board.add(
@@ -424,11 +434,5 @@
         board.remove("w1", ["e0", "e1", "e2"], 2.0)
         self.assertEqual([len(board.load(f"e{n}").works) for n in range(3)], [0, 0, 0])
 
-    def test_work_is_removed_with_its_owner(self):
-        board = LoadBoard()
-        board.add([self.work("w1"), self.work("w2", owner="b")])
-        board.remove_owner("a", 1.0)
-        self.assertEqual(list(board.load("e0").works), ["w2"])
-
     def test_due_time_defaults_to_infinity(self):
         self.assertEqual(self.work("w").due_in_s, math.inf)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,17 +7,19 @@
 import unittest
 from pathlib import Path
 
-from cicadatiller.egress import ResponseHead
+from cicadatiller.egress import ConnectionPool, ResponseHead
 from cicadatiller.fleet import StoreUnavailableError, TargetState, Topic
-from cicadatiller.gateway import RequestFields, TargetFields
+from cicadatiller.gateway import RequestFields, ReserveResult, TargetFields
 from cicadatiller.ingress import Request
 from cicadatiller.platform import (
     DocumentError,
     PlatformDocuments,
+    PlatformEngineClient,
     PlatformHeaders,
     PlatformLog,
     PlatformSettingsError,
     check_deploy_file,
+    load_node_settings,
     parse_node_settings,
 )
 from cicadatiller.platform._log import decode_page, encode_record
@@ -25,7 +27,7 @@
 
 from .support.gateways import configuration, route
 from .support.streams import NetworkCase
-from .support.wire import StoreStandin
+from .support.wire import StoreStandin, TargetStandin
 
 ROOT = Path(__file__).parents[1]
 SOURCES = ROOT / "src" / "cicadatiller"
@@ -101,6 +103,18 @@
         for name in ("zone", "ip", "listen.front", "listen.ready", "platform"):
             self.assertIn(f"{name}: expected", str(caught.exception))
 
+    def test_range_of_internal_ports_needs_a_port(self):
+        for ports in ([], [0, 5], [70_000, 70_001]):
+            with self.assertRaises(PlatformSettingsError) as caught:
+                parse_node_settings(SETTINGS | {"internal_port_range": ports})
+            self.assertIn("internal_port_range: expected", str(caught.exception))
+
+    def test_path_of_an_unreadable_file_is_named_once(self):
+        path = Path("/nonexistent/boot.toml")
+        with self.assertRaises(PlatformSettingsError) as caught:
+            load_node_settings(path)
+        self.assertEqual(str(caught.exception).count(str(path)), 1)
+
     def test_missing_optional_bounds_get_their_defaults(self):
         bounds = {k: v for k, v in SETTINGS["bounds"].items() if not k.startswith(("free", "idle"))}
         node = parse_node_settings(SETTINGS | {"bounds": bounds})
@@ -140,6 +154,28 @@
             self.assertIn(f"{field}: ", text)
         self.assertIn("two roles on 'front' list the same value in serves", text)
 
+    def test_serves_that_is_no_list_is_an_error(self):
+        text = """
+            build = "true"
+            [roles.a]
+            run = "python3 x"
+            on = "front"
+            serves = 3
+            """
+        self.assertIn("roles.a.serves: expected a list", "\n".join(self.check(text)))
+
+    def test_role_that_lists_a_value_twice_is_named_alone(self):
+        text = """
+            build = "true"
+            [roles.a]
+            run = "python3 x"
+            on = "front"
+            serves = ["front", "front"]
+            """
+        errors = "\n".join(self.check(text))
+        self.assertIn("roles.a.serves", errors)
+        self.assertNotIn("two roles", errors)
+
     def test_invalid_toml_is_reported(self):
         self.assertIn("(file)", self.check("= 3")[0])
 
@@ -263,7 +299,6 @@
             remaining_s=1.5,
             workspace="reef",
             last_event_id=b"3",
-            urgency=2,
             helpers=("10.0.0.1:80/w1", "10.0.0.2:80"),
         )
         lines = PlatformHeaders().encode_request(request, fields).split(b"\r\n")
@@ -272,7 +307,6 @@
             b"Expect-Instance: t-1",
             b"Tenant: reef",
             b"Last-Event-Id: 3",
-            b"Request-Urgency: 2",
             b"Helpers: 10.0.0.1:80/w1,10.0.0.2:80",
             b"Token-Counts: 9,9",
         ):
@@ -337,6 +371,30 @@
         self.assertLess(self.run_paused(scenario()), 2.0)
 
 
+class OrderCallTest(NetworkCase):
+    def test_only_a_refusal_of_the_engine_means_that_it_has_no_room(self):
+        expected = {
+            200: ReserveResult.HELD,
+            400: ReserveResult.NO_ROOM,
+            409: ReserveResult.NO_ROOM,
+            421: ReserveResult.NO_ROOM,
+            500: ReserveResult.UNKNOWN,
+            503: ReserveResult.UNKNOWN,
+        }
+
+        async def scenario():
+            found = {}
+            target = TargetStandin("t-1", service="engines", zone="north-a")
+            await target.start("10.0.1.1")
+            client = PlatformEngineClient(pool=ConnectionPool())
+            for status in expected:
+                target.order_handler = lambda order, status=status: status
+                found[status] = await client.reserve(target.address, "w-1", tokens=1000, hold_s=1.0)
+            return found
+
+        self.assertEqual(self.run_paused(scenario()), expected)
+
+
 class BoundaryTest(unittest.TestCase):
     def test_platform_names_appear_only_in_the_adapter(self):
         names = re.compile("|".join(map(re.escape, PLATFORM_NAMES)), re.IGNORECASE)
