--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -15,6 +15,7 @@
 )
 from cicadatiller.standins import MemoryNetwork
 
+from .streams import NetworkCase
 from .wire import StoreStandin, TargetStandin
 
 STORE = ("10.0.9.1", 80)
@@ -325,6 +326,18 @@
         return sorted(runs, key=lambda run: run.began_s)
 
 
+class GatewayCase(NetworkCase):
+    """Runs each scenario on a new `GatewayFleet`."""
+
+    def run_scenario(self, scenario, **options):
+        async def run():
+            fleet = GatewayFleet()
+            await fleet.start(**options)
+            return await scenario(fleet)
+
+        return self.run_paused(run())
+
+
 def parse_reply(data, *, ended=False):
     """Parse a reply; return None while it is incomplete, unless the connection has `ended`."""
     head, separator, rest = data.partition(b"\r\n\r\n")
