--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -14,7 +14,7 @@
     failure,
 )
 from ._events import Event, log_event
-from ._http_client import HttpClient, HttpReply, HttpTimeouts, HttpUnreachableError
+from ._http_timeouts import HttpTimeouts
 from ._ids import AttemptId, RequestId, new_incarnation, new_request_id, parse_request_id
 from ._log_output import LogOutput
 from ._network_settings import EndpointSettings, HttpOptions, PeerTlsSettings, registered
@@ -55,11 +55,8 @@
     "Event",
     "Failure",
     "FailureError",
-    "HttpClient",
     "HttpOptions",
-    "HttpReply",
     "HttpTimeouts",
-    "HttpUnreachableError",
     "LogOutput",
     "LoopBridge",
     "PROMPT_BUCKETS",
--- a/src/cicadatiller/kernel/_network_settings.py
+++ b/src/cicadatiller/kernel/_network_settings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from ._http_client import HttpTimeouts
+from ._http_timeouts import HttpTimeouts
 from ._registry import Registry
 from ._settings import above_zero, check_values, host_and_port, not_empty
 
--- a/src/cicadatiller/standins/_export_lookup.py
+++ b/src/cicadatiller/standins/_export_lookup.py
@@ -3,7 +3,8 @@
 import asyncio
 import json
 
-from ..kernel import HttpClient, HttpTimeouts, HttpUnreachableError
+from ..http_client import HttpClient, HttpUnreachableError
+from ..kernel import HttpTimeouts
 
 POLL_INTERVAL_S = 0.25
 WATCH_EXPIRY_S = 5.0
--- a/src/cicadatiller/targets/_http.py
+++ b/src/cicadatiller/targets/_http.py
@@ -6,7 +6,8 @@
 
 import cattrs
 
-from ..kernel import HttpClient, HttpReply, HttpTimeouts, HttpUnreachableError
+from ..http_client import HttpClient, HttpReply, HttpUnreachableError
+from ..kernel import HttpTimeouts
 from ._protocols import (
     CacheEvents,
     EngineInfo,
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -12,7 +12,8 @@
     OffsetTrimmedError,
     PlatformUnavailableError,
 )
-from cicadatiller.kernel import HttpClient, HttpTimeouts, HttpUnreachableError
+from cicadatiller.http_client import HttpClient, HttpUnreachableError
+from cicadatiller.kernel import HttpTimeouts
 from cicadatiller.standins import (
     EngineModel,
     EngineStandin,
