--- a/src/cicadatiller/cli/_reading.py
+++ b/src/cicadatiller/cli/_reading.py
@@ -8,6 +8,7 @@
 from ..rpc._generated.cicadatiller.v1 import operators_pb as pb
 from ._client import Connection
 from ._context import exit_on_command_error, get_command_context
+from ._followed import followed_rows
 from ._output import OutputFormat, print_rows, print_table, print_value
 
 HISTORY_PAGE = 500
@@ -85,12 +86,24 @@
 
 
 @exit_on_command_error
-def status(ctx: typer.Context) -> None:
+def status(
+    ctx: typer.Context,
+    metrics: Annotated[
+        list[str] | None,
+        typer.Option(help="Metrics URL of an entry on the platform; may be repeated."),
+    ] = None,
+) -> None:
     """Show data centres, targets and failures as known to one entry.
 
+    With --metrics, show instead which settings and configuration each of these entries follows.
+
     Example: cicadatiller status
+    Example: cicadatiller status --metrics http://10.1.0.40:9464/metrics
     """
     options = get_command_context(ctx)
+    if metrics:
+        print_rows(followed_rows(metrics), options.output)
+        return
     response = options.connection.operators(
         lambda client, headers: client.status(pb.StatusRequest(), headers=headers)
     )
--- a/src/cicadatiller/gateway/__init__.py
+++ b/src/cicadatiller/gateway/__init__.py
@@ -6,7 +6,7 @@
 from ._node import Bounds, NodeSettings
 from ._orders import EngineClient, EngineReport, ReserveResult
 from ._process import Gateway
-from ._reload import SettingsWatch
+from ._reload import SettingsRevision, SettingsWatch
 from ._settings import GatewaySettings
 from ._wire import RequestFields, TargetFields, WireCodec
 
@@ -21,6 +21,7 @@
     "NodeSettings",
     "RequestFields",
     "ReserveResult",
+    "SettingsRevision",
     "SettingsWatch",
     "TargetFields",
     "TopicFollower",
--- a/src/cicadatiller/gateway/_exposition.py
+++ b/src/cicadatiller/gateway/_exposition.py
@@ -15,13 +15,19 @@
     Args:
         metrics: The counters and histograms.
         gauges: Returns the current gauge values by metric name without `PREFIX`.
+        infos: Returns labels that identify a state of the entry, by metric name without `PREFIX`.
     """
 
     def __init__(
-        self, *, metrics: GatewayMetrics, gauges: Callable[[], Mapping[str, float]]
+        self,
+        *,
+        metrics: GatewayMetrics,
+        gauges: Callable[[], Mapping[str, float]],
+        infos: Callable[[], Mapping[str, Mapping[str, str]]],
     ) -> None:
         self._metrics = metrics
         self._gauges = gauges
+        self._infos = infos
 
     def render(self) -> bytes:
         """Return all metrics as text."""
@@ -37,6 +43,7 @@
         from prometheus_client.core import (
             CounterMetricFamily,
             GaugeMetricFamily,
+            InfoMetricFamily,
             SummaryMetricFamily,
         )
 
@@ -54,6 +61,8 @@
             yield family
         for name, measured in sorted(self._gauges().items()):
             yield GaugeMetricFamily(PREFIX + name, name.replace("_", " "), value=measured)
+        for name, labels in sorted(self._infos().items()):
+            yield InfoMetricFamily(PREFIX + name, name, value=dict(labels))
         for name, labels, histogram, unit_s in self._metrics.histograms():
             count = histogram.get_total_count()
             total_s = histogram.get_mean_value() * count * unit_s
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -25,6 +25,7 @@
 from ._peer_sync import PeerSync
 from ._prober import EngineProber
 from ._redialer import Redialer
+from ._reload import SettingsRevision
 from ._retry_budget import RetryBudget
 from ._scheduler import Scheduler
 from ._settings import GatewaySettings
@@ -69,6 +70,7 @@
     Attributes:
         board: The known load of all targets.
         peer_sync: Exchanges state with the peers.
+        settings_revision: The revision of the platform's settings that are in force.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self._pool = pool
         self._loop = asyncio.get_running_loop()
         self._tasks = TaskSet()
+        self.settings_revision = SettingsRevision(number=1, digest="")
         self.board = LoadBoard()
         self._directory = TargetDirectory()
         self._subset = TargetSubset(name=node.name, directory=self._directory)
@@ -116,7 +119,7 @@
         self._caller_server = IngressServer(handler=self._make_handler(codec).handle)
         self._status_server = StatusServer(
             is_ready=self._synced.is_set,
-            exposition=Exposition(metrics=self._metrics, gauges=self._gauges),
+            exposition=Exposition(metrics=self._metrics, gauges=self._gauges, infos=self._infos),
             metrics_path=self._settings.metrics_path,
         )
 
@@ -144,9 +147,10 @@
         await stopping.wait()
         await self._shut_down()
 
-    def apply_node_settings(self, node: NodeSettings) -> None:
+    def apply_node_settings(self, node: NodeSettings, revision: SettingsRevision) -> None:
         """Apply reloaded settings; changed addresses take effect only after a restart."""
         self._node = node
+        self.settings_revision = revision
         bounds = node.bounds
         self._budget.set_limits(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
@@ -419,6 +423,20 @@
     def _apply_limits(self, table: RouteTable) -> None:
         self._caller_server.limits = table.limits
 
+    def _infos(self) -> dict[str, dict[str, str]]:
+        """Return what identifies the settings and the configuration that this entry follows."""
+        return {
+            "settings": {
+                "entry": self._node.name,
+                "revision": str(self.settings_revision.number),
+                "digest": self.settings_revision.digest,
+            },
+            "config": {
+                "version": str(self.config_version),
+                "digest": self._configuration.digest,
+            },
+        }
+
     def _gauges(self) -> dict[str, float]:
         return {
             "stalls": self._stall.stalls,
@@ -427,6 +445,10 @@
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
+            "entries_known": len(self._subset.entries),
+            "targets_used": self._subset.size,
+            "peer_bytes_queued": self.peer_sync.mesh.queued_bytes,
+            "peer_round_trip_seconds": self.peer_sync.mesh.round_trip_s,
             "target_connections_opened": self._pool.opened,
             "target_connections_reused": self._pool.reused,
         }
--- a/src/cicadatiller/gateway/_sinks.py
+++ b/src/cicadatiller/gateway/_sinks.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import xxhash
+
 from ..fleet import KeyedPage, KeyedRecord, TargetDirectory, TargetRecord
 from ..kernel import Event, log_event
 from ..routes import RouteTable
@@ -30,12 +32,14 @@
 
     Attributes:
         table: The current configuration; None until one was read.
+        digest: A digest of its document; empty until one was read.
     """
 
     def __init__(
         self, *, decoder: DocumentDecoder, on_change: Callable[[RouteTable], None]
     ) -> None:
         self.table: RouteTable | None = None
+        self.digest = ""
         self._decoder = decoder
         self._on_change = on_change
 
@@ -51,6 +55,7 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        self.digest = xxhash.xxh3_64_hexdigest(record.value)
         log_event(Event.CONFIG_IN_FORCE, version=table.version, offset=record.offset)
         self._on_change(table)
 
--- a/src/cicadatiller/platform/__main__.py
+++ b/src/cicadatiller/platform/__main__.py
@@ -41,7 +41,10 @@
         orders=PlatformEngineClient(pool=pool),
         transport=open_transport("websocket", None),
     )
-    watch = SettingsWatch(path=path, load=load_node_settings, on_change=gateway.apply_node_settings)
+    watch = SettingsWatch(
+        path=path, load=load_node_settings, current=node, on_change=gateway.apply_node_settings
+    )
+    gateway.settings_revision = watch.revision
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
     watch_task = loop.create_task(watch.run())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,9 +1,11 @@
 """The program `cicadatiller`, against a running fleet."""
 
+import http.server
 import json
 import os
 import re
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -234,3 +236,56 @@
             format_difference(difference),
             "model glacier: change\n   deployment: north\n  -version: v1\n  +version: v2",
         )
+
+
+class FollowedTest(unittest.TestCase):
+    """Which settings and configuration the entries on the platform follow."""
+
+    PAGE = (
+        'cicadatiller_settings_info{digest="ab",entry="front-1",revision="2"} 1.0\n'
+        'cicadatiller_config_info{digest="cd",version="74"} 1.0\n'
+    )
+
+    def serve(self, text):
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self):  # noqa: N802
+                self.send_response(200)
+                self.end_headers()
+                self.wfile.write(text.encode())
+
+            def log_message(self, *arguments):
+                pass
+
+        server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        return f"http://127.0.0.1:{server.server_address[1]}/metrics"
+
+    def status(self, *urls):
+        arguments = [part for url in urls for part in ("--metrics", url)]
+        variables = {"CICADATILLER_KEY": "k", "CICADATILLER_ENTRY": "http://127.0.0.1:1"}
+        with mock.patch.dict(os.environ, variables):
+            return CliRunner().invoke(app, ["--output", "json", "status", *arguments])
+
+    def test_one_row_for_each_entry(self):
+        url = self.serve(self.PAGE)
+        closed = f"http://127.0.0.1:{free_port()}/metrics"
+        rows = json.loads(self.status(url, closed).stdout)
+        self.assertEqual(
+            rows[0],
+            {
+                "entry": "front-1",
+                "settings_revision": "2",
+                "settings_digest": "ab",
+                "config_version": "74",
+                "config_digest": "cd",
+                "problem": "",
+            },
+        )
+        self.assertEqual(rows[1]["entry"], closed)
+        self.assertTrue(rows[1]["problem"])
+
+    def test_no_answer_is_an_error(self):
+        result = self.status(f"http://127.0.0.1:{free_port()}/metrics")
+        self.assertEqual(result.exit_code, ExitCode.UNREACHABLE)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -4,6 +4,7 @@
 import os
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from cicadatiller.fleet import (
@@ -14,11 +15,12 @@
     StoreUnavailableError,
     Topic,
 )
-from cicadatiller.gateway import GatewaySettings, NodeSettings, SettingsWatch
+from cicadatiller.gateway import Bounds, GatewaySettings, NodeSettings, SettingsWatch
 from cicadatiller.gateway._clock import ClockWatch
 from cicadatiller.gateway._events import MAX_EVENT_BYTES, EventSplitter, EventTooLongError
 from cicadatiller.gateway._followers import OUTAGE_S, REMOVAL_GRACE_S, TopicFollower
 from cicadatiller.gateway._outcomes import AttemptOutcome, Delivery, NextStep, choose_next_step
+from cicadatiller.gateway._reload import changed_fields
 from cicadatiller.gateway._retry_budget import RetryBudget
 from cicadatiller.ingress import Response
 from cicadatiller.placement import CallCandidate, TargetLoad, Work, place_call
@@ -391,7 +393,12 @@
     def watch(self, folder, seen, load):
         self.path = Path(folder) / "boot.toml"
         self.path.write_text("first")
-        return SettingsWatch(path=self.path, load=load, on_change=seen.append)
+        return SettingsWatch(
+            path=self.path,
+            load=load,
+            current=node("first"),
+            on_change=lambda settings, revision: seen.append((settings, revision)),
+        )
 
     def test_changed_file_is_read_without_a_signal(self):
         async def scenario(watch):
@@ -406,7 +413,7 @@
         with tempfile.TemporaryDirectory() as folder:
             watch = self.watch(folder, seen, lambda path: node(path.read_text()))
             self.run_paused(scenario(watch))
-        self.assertEqual([item.name for item in seen], ["second, longer"])
+        self.assertEqual([item.name for item, _ in seen], ["second, longer"])
 
     def test_invalid_file_changes_nothing(self):
         def refuse(path):
@@ -416,8 +423,27 @@
         with tempfile.TemporaryDirectory() as folder:
             watch = self.watch(folder, seen, refuse)
             os.remove(self.path)
+            before = watch.revision
             watch.reload()
-        self.assertEqual(seen, [])
+        self.assertEqual((seen, watch.revision), ([], before))
+
+    def test_revision_changes_with_the_settings_only(self):
+        seen = []
+        with tempfile.TemporaryDirectory() as folder:
+            watch = self.watch(folder, seen, lambda path: node(path.read_text()))
+            first = watch.revision
+            watch.reload()
+            unchanged = watch.revision
+            self.path.write_text("second")
+            watch.reload()
+        self.assertEqual((first.number, unchanged), (1, first))
+        self.assertEqual(watch.revision.number, 2)
+        self.assertNotEqual(watch.revision.digest, first.digest)
+        self.assertEqual(seen[-1][1], watch.revision)
+
+    def test_changed_fields_are_named(self):
+        after = replace(node("a"), peer_port=83, bounds=Bounds(retry_slack=3.0))
+        self.assertEqual(changed_fields(node("a"), after), ["peer_port", "bounds.retry_slack"])
 
 
 def node(name):
@@ -453,6 +479,8 @@
             'cicadatiller_failed_total{kind="UNKNOWN_SERVICE"} 1.0',
             'cicadatiller_sends_total{outcome="done"} 2.0',
             "cicadatiller_targets 2.0",
+            'cicadatiller_settings_info{digest="",entry="front-0",revision="1"} 1.0',
+            'version="3"} 1.0',
             'cicadatiller_first_event_seconds_count{prompt="<=4k"} 1.0',
             "cicadatiller_added_seconds_p95",
         ):
