Put channels and the message codec into a package of their own

An entry on the platform imported 36 message classes of entries and sidecars that it never uses: 50 of 487 ms of its imports (importtime). Time without entries after all of them were killed is spent there.

--- a/bench/chaos_transport.py
+++ b/bench/chaos_transport.py
@@ -4,7 +4,7 @@
 `PORT_OFFSETS`. Two sidecars on one slot use different transports, hence different ports.
 """
 
-from cicadatiller.peer import (
+from cicadatiller.channels import (
     Channel,
     Handler,
     Listener,
--- a/bench/config_fanout.py
+++ b/bench/config_fanout.py
@@ -11,7 +11,7 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from cicadatiller.peer import decode
+from cicadatiller.channels import decode
 from tests.support import PausedLoop
 from tests.support.configuration import change, edit
 from tests.support.spread import PartitionableFleet
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -9,7 +9,7 @@
 import os
 from pathlib import Path
 
-from cicadatiller.peer import Channel, Handler, Listener, WebSocketTransport, transport_registry
+from cicadatiller.channels import Channel, Handler, Listener, WebSocketTransport, transport_registry
 
 TABLE_VARIABLE = "CICADATILLER_BENCH_LATENCY"
 
--- a/src/cicadatiller/entry/_answer.py
+++ b/src/cicadatiller/entry/_answer.py
@@ -3,15 +3,7 @@
 from collections.abc import Callable
 
 from ..kernel import ErrorKind, Event, FailureError, fail, log_event
-from ..peer import (
-    Accepted,
-    AnswerChecksum,
-    Failed,
-    Finished,
-    PeerCall,
-    Tokens,
-    checksum_bytes,
-)
+from ..peer import Accepted, AnswerChecksum, Failed, Finished, PeerCall, Tokens, checksum_bytes
 from ._requests import AnswerDone, AnswerTokens, Emit, RequestOpened
 
 MAX_MISSING_TOKENS_ERRORS = 100
--- a/src/cicadatiller/entry/_peers.py
+++ b/src/cicadatiller/entry/_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 
 from ..backing import LogRecord
+from ..channels import Transport
 from ..config import ConfigStore
 from ..kernel import Event, TaskSet, log_event
 from ..membership import InstanceView
@@ -14,7 +15,6 @@
     PeerConnection,
     PeerLostError,
     PeerTiming,
-    Transport,
     WorkspaceUse,
     dial_peer,
 )
--- a/src/cicadatiller/entry/_process.py
+++ b/src/cicadatiller/entry/_process.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 
 from ..backing import InstanceList, LogClient
+from ..channels import Transport
 from ..config import ConfigStore, ConfigTail, Publisher, SnapshotWriter
 from ..kernel import Event, TaskSet, log_event
 from ..membership import InstanceView
-from ..peer import PeerTiming, Transport
+from ..peer import PeerTiming
 from ._admin import AdminService
 from ._claims import ClaimLog
 from ._peer_selector import PeerSelector
--- a/src/cicadatiller/entry/_relay.py
+++ b/src/cicadatiller/entry/_relay.py
@@ -6,13 +6,7 @@
 
 from ..kernel import ErrorKind, Event, Failure, FailureError, RunState, fail, log_event
 from ..membership import Target
-from ..peer import (
-    Accepted,
-    Attach,
-    PeerConnection,
-    PeerLostError,
-    Submit,
-)
+from ..peer import Accepted, Attach, PeerConnection, PeerLostError, Submit
 from ._answer import AnswerReader, MissingTokensError
 from ._commands import RequestCommands
 from ._peers import PeerPool
--- a/src/cicadatiller/entry/_settings.py
+++ b/src/cicadatiller/entry/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..backing import instance_list_registry, log_registry
+from ..channels import transport_registry
 from ..kernel import (
     EndpointSettings,
     HttpOptions,
@@ -14,7 +15,7 @@
     not_negative,
     registered,
 )
-from ..peer import PeerTiming, transport_registry
+from ..peer import PeerTiming
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+from ..channels import Transport
 from ..fleet import KeyedPage, KeyedRecord, TargetDirectory, Topic
 from ..kernel import TaskSet
 from ..mesh import (
@@ -18,7 +19,6 @@
     Update,
     WorkShare,
 )
-from ..peer import Transport
 from ..placement import LoadBoard, Work
 from ._catch_up import REPLY_TIMEOUT_S, CatchUp, answer_request
 from ._followers import TopicFollower
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 
+from ..channels import Transport, split_address
 from ..egress import ConnectionPool
 from ..fleet import KeyedLog, KeyedPage, Target, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
 from ..mesh import COMPACT_PROTOCOL, Greeting
-from ..peer import Transport, split_address
 from ..placement import LoadBoard
 from ..routes import RouteTable, Service
 from ._clock import ClockWatch
--- a/src/cicadatiller/gateway/_status.py
+++ b/src/cicadatiller/gateway/_status.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from ..channels import split_address
 from ..ingress import IngressServer, Request, Responder, Response
-from ..peer import split_address
 from ._exposition import CONTENT_TYPE, Exposition
 
 OK = 200
--- a/src/cicadatiller/mesh/_link.py
+++ b/src/cicadatiller/mesh/_link.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..channels import Channel, ChannelClosedError, Transport, decode, encode
 from ..kernel import Event, FailureError, log_event
-from ..peer import Channel, ChannelClosedError, Transport, decode, encode
 from ._compact import compact
 from ._messages import (
     COMPACT_PROTOCOL,
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+from ..channels import Channel, ChannelClosedError, Listener, Transport, decode, encode
 from ..kernel import Event, FailureError, TaskSet, log_event
-from ..peer import Channel, ChannelClosedError, Listener, Transport, decode, encode
 from ._compact import expand
 from ._link import MeshTiming, OutboundLink, UpdateFrames
 from ._messages import (
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..peer import message
+from ..channels import message
 
 # An entry sends only what the receiver understands: `Update` to all, `CompactUpdate` and
 # `TopicRequest` from `COMPACT_PROTOCOL` on. Until it knows the receiver's version it assumes the
--- a/src/cicadatiller/peer/__init__.py
+++ b/src/cicadatiller/peer/__init__.py
@@ -1,4 +1,4 @@
-"""Messages, transports and connections between the processes of the system."""
+"""Messages and connections between entries and sidecars."""
 
 from ._bodies import (
     FailureBody,
@@ -10,12 +10,6 @@
     AnswerChecksum,
     checksum_bytes,
 )
-from ._codec import (
-    PROTOCOL_VERSION,
-    decode,
-    encode,
-    message,
-)
 from ._config_messages import (
     ConfigRecord,
     ConfigRecords,
@@ -63,17 +57,6 @@
     PeerServer,
     PeerService,
 )
-from ._transport import (
-    Channel,
-    ChannelClosedError,
-    Handler,
-    Listener,
-    Transport,
-    WebSocketTransport,
-    open_transport,
-    split_address,
-    transport_registry,
-)
 
 __all__ = [
     "Accepted",
@@ -82,8 +65,6 @@
     "CallWork",
     "Cancel",
     "Challenge",
-    "Channel",
-    "ChannelClosedError",
     "ConfigRecord",
     "ConfigRecords",
     "Drain",
@@ -94,14 +75,11 @@
     "FollowConfig",
     "GenerateWork",
     "GetState",
-    "Handler",
     "Hello",
     "Leave",
-    "Listener",
     "LoadReport",
     "Open",
     "Opened",
-    "PROTOCOL_VERSION",
     "PeerCall",
     "PeerConnection",
     "PeerLink",
@@ -122,16 +100,8 @@
     "Submit",
     "Tokens",
     "Tombstone",
-    "Transport",
-    "WebSocketTransport",
     "Welcome",
     "WorkspaceUse",
     "checksum_bytes",
-    "decode",
     "dial_peer",
-    "encode",
-    "message",
-    "open_transport",
-    "split_address",
-    "transport_registry",
 ]
--- a/src/cicadatiller/peer/_config_messages.py
+++ b/src/cicadatiller/peer/_config_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..channels import message
 from ._bodies import LoadReport
-from ._codec import message
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cicadatiller/peer/_connection.py
+++ b/src/cicadatiller/peer/_connection.py
@@ -4,14 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..channels import Channel, ChannelClosedError, decode, encode
 from ..kernel import Event, FailureError, TaskSet, log_event
 from ._bodies import LoadReport, WorkspaceUse
 from ._call import PeerCall, PeerLostError
-from ._codec import decode, encode
 from ._config_messages import ConfigRecords, FollowConfig
 from ._connection_messages import Leave, Ping, Pong, Welcome
 from ._request_messages import Accepted, Failed, Finished, Tokens
-from ._transport import Channel, ChannelClosedError
 
 _STREAM_FRAMES = (Accepted, Tokens, Finished)
 
--- a/src/cicadatiller/peer/_dial.py
+++ b/src/cicadatiller/peer/_dial.py
@@ -4,15 +4,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from ..channels import Channel, ChannelClosedError, Transport, decode, encode
 from ..kernel import ErrorKind, Event, FailureError, fail, log_event
 from ._bodies import LoadReport, WorkspaceUse
 from ._call import PeerLostError
-from ._codec import decode, encode
 from ._config_messages import ConfigRecords
 from ._connection import PeerConnection, PeerTiming
 from ._connection_messages import Challenge, Hello, Welcome
 from ._proof import compute_proof, is_valid_proof, new_nonce
-from ._transport import Channel, ChannelClosedError, Transport
 
 
 async def dial_peer(
--- a/src/cicadatiller/peer/_gang_messages.py
+++ b/src/cicadatiller/peer/_gang_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from ..channels import message
 from ._bodies import LoadReport
-from ._codec import message
 from ._request_messages import GenerateWork
 
 
--- a/src/cicadatiller/peer/_link.py
+++ b/src/cicadatiller/peer/_link.py
@@ -3,8 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from ._codec import encode
-from ._transport import Channel, ChannelClosedError
+from ..channels import Channel, ChannelClosedError, encode
 
 MAX_REMEMBERED_CALLS = 4096
 
--- a/src/cicadatiller/peer/_request_messages.py
+++ b/src/cicadatiller/peer/_request_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from ..channels import message
 from ._bodies import FailureBody, LoadReport, WorkspaceUse
-from ._codec import message
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cicadatiller/peer/_server.py
+++ b/src/cicadatiller/peer/_server.py
@@ -3,15 +3,19 @@
 import asyncio
 from typing import Protocol
 
+from ..channels import (
+    Channel,
+    ChannelClosedError,
+    Listener,
+    Transport,
+    decode,
+    encode,
+)
 from ..kernel import ErrorKind, Event, FailureError, TaskSet, fail, log_event
 from ._bodies import (
     FailureBody,
     LoadReport,
 )
-from ._codec import (
-    decode,
-    encode,
-)
 from ._config_messages import (
     ConfigRecords,
 )
@@ -29,7 +33,6 @@
 from ._request_messages import (
     Failed,
 )
-from ._transport import Channel, ChannelClosedError, Listener, Transport
 
 
 class PeerService(Protocol):
--- a/src/cicadatiller/platform/__main__.py
+++ b/src/cicadatiller/platform/__main__.py
@@ -9,10 +9,10 @@
 
 from eliot import add_destinations
 
+from ..channels import open_transport
 from ..egress import ConnectionPool
 from ..gateway import Gateway, GatewaySettings, NodeSettings, SettingsWatch
 from ..kernel import EXIT_BAD_SETTINGS, LogOutput, load_or_report
-from ..peer import open_transport
 from ._documents import PlatformDocuments
 from ._headers import PlatformHeaders
 from ._log import PlatformLog
--- a/src/cicadatiller/rpc/_main.py
+++ b/src/cicadatiller/rpc/_main.py
@@ -5,9 +5,9 @@
 import threading
 
 from ..backing import instance_list_registry, log_registry
+from ..channels import open_transport
 from ..entry import Entry, EntryOptions, EntrySettings
 from ..kernel import Event, LoopBridge, log_event, run_from_command_line
-from ..peer import open_transport
 from ._http import RpcServer
 
 
--- a/src/cicadatiller/sidecar/_engine_target.py
+++ b/src/cicadatiller/sidecar/_engine_target.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from ..backing import Instance, LogClient, WeightStore
+from ..channels import Transport
 from ..config import ConfigStore, PolicyWeights
 from ..kernel import TaskSet
-from ..peer import Transport
 from ..targets import Engine
 from ._engine_driver import EngineDriver
 from ._gang_coordinator import GangCoordinator
--- a/src/cicadatiller/sidecar/_gang_member.py
+++ b/src/cicadatiller/sidecar/_gang_member.py
@@ -7,15 +7,7 @@
 from functools import partial
 
 from ..kernel import ErrorKind, Event, TaskSet, fail, log_event
-from ..peer import (
-    LoadReport,
-    Prefill,
-    Prefilled,
-    Release,
-    Released,
-    Reserve,
-    Reserved,
-)
+from ..peer import LoadReport, Prefill, Prefilled, Release, Released, Reserve, Reserved
 from ..targets import (
     Engine,
     EngineInfo,
--- a/src/cicadatiller/sidecar/_peers.py
+++ b/src/cicadatiller/sidecar/_peers.py
@@ -4,17 +4,10 @@
 from collections import defaultdict
 
 from ..backing import Instance, InstanceKind, InstanceState
+from ..channels import Transport
 from ..config import ConfigStore
 from ..membership import long_prompt_rank
-from ..peer import (
-    LoadReport,
-    PeerConnection,
-    PeerLostError,
-    PeerTiming,
-    Ping,
-    Transport,
-    dial_peer,
-)
+from ..peer import LoadReport, PeerConnection, PeerLostError, PeerTiming, Ping, dial_peer
 
 ASK_TIMEOUT_S = 2.0
 DIAL_BATCH = 8
--- a/src/cicadatiller/sidecar/_process.py
+++ b/src/cicadatiller/sidecar/_process.py
@@ -12,9 +12,10 @@
     PlatformUnavailableError,
     WeightStore,
 )
+from ..channels import Transport
 from ..config import ConfigStore, ConfigTail
 from ..kernel import Event, TaskSet, log_event, new_incarnation
-from ..peer import PeerServer, Transport
+from ..peer import PeerServer
 from ..targets import Engine, PlainService
 from ._engine_target import EngineTarget
 from ._handover import drain
--- a/src/cicadatiller/sidecar/_settings.py
+++ b/src/cicadatiller/sidecar/_settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..backing import instance_list_registry, log_registry, weight_store_registry
+from ..channels import transport_registry
 from ..kernel import (
     EndpointSettings,
     PeerTlsSettings,
@@ -15,7 +16,7 @@
     not_negative,
     registered,
 )
-from ..peer import PeerTiming, transport_registry
+from ..peer import PeerTiming
 from ..targets import engine_registry, service_registry
 
 
--- a/src/cicadatiller/standins/_http_server.py
+++ b/src/cicadatiller/standins/_http_server.py
@@ -11,8 +11,8 @@
 import xxhash
 from cheroot.wsgi import Server as WsgiServer
 
+from ..channels import split_address
 from ..kernel import FailureError, LoopBridge
-from ..peer import split_address
 
 OK = "200 OK"
 NOT_MODIFIED = "304 Not Modified"
--- a/src/cicadatiller/standins/_network.py
+++ b/src/cicadatiller/standins/_network.py
@@ -4,8 +4,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..peer import Channel, ChannelClosedError, Handler, Listener, transport_registry
-from ..peer import split_address as _split_address
+from ..channels import Channel, ChannelClosedError, Handler, Listener, transport_registry
+from ..channels import split_address as _split_address
 
 FrameFilter = Callable[[str, str, bytes], list[bytes]]
 
--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 
+from cicadatiller.channels import decode, encode
 from cicadatiller.entry import routing_registry
 from cicadatiller.kernel import CHARACTERS_PER_TOKEN
 from cicadatiller.peer import (
@@ -16,8 +17,6 @@
     Submit,
     Tokens,
     Welcome,
-    decode,
-    encode,
 )
 from cicadatiller.sidecar import queue_registry
 from cicadatiller.sidecar._engine_target import EngineTarget
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,8 +3,9 @@
 import asyncio
 from dataclasses import replace
 
+from cicadatiller.channels import decode
 from cicadatiller.kernel import ErrorKind, RequestState, RunState
-from cicadatiller.peer import Finished, decode
+from cicadatiller.peer import Finished
 from cicadatiller.sidecar._reconcile import PREDECESSOR_GRACE_S, RECONCILE_INTERVAL_S, Reconciler
 from cicadatiller.sidecar._service import LATE_SUBMISSION_GRACE_S
 from cicadatiller.standins import EngineModel, expected_answer
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -4,6 +4,7 @@
 import math
 import unittest
 
+from cicadatiller.channels import decode, encode
 from cicadatiller.kernel import TaskSet
 from cicadatiller.mesh import (
     COMPACT_PROTOCOL,
@@ -24,7 +25,6 @@
     pack_records,
     unpack_records,
 )
-from cicadatiller.peer import decode, encode
 from cicadatiller.standins import MemoryNetwork
 
 from .support.streams import NetworkCase
--- a/tests/test_reference_pages.py
+++ b/tests/test_reference_pages.py
@@ -6,11 +6,11 @@
 from pathlib import Path
 
 from cicadatiller.backing import instance_list_registry, log_registry, weight_store_registry
+from cicadatiller.channels import transport_registry
 from cicadatiller.config import OBJECT_TYPES
 from cicadatiller.entry import EntrySettings, routing_registry
 from cicadatiller.gateway import GatewaySettings
 from cicadatiller.kernel import ERROR_RULES, ErrorKind, Event, RunState
-from cicadatiller.peer import transport_registry
 from cicadatiller.sidecar import SidecarSettings, queue_registry
 from cicadatiller.standins import STANDIN_SETTINGS
 from cicadatiller.targets import engine_registry, service_registry
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -8,18 +8,10 @@
 import urllib3
 from connectrpc.errors import ConnectError
 
+from cicadatiller.channels import decode, encode
 from cicadatiller.config import hash_key
 from cicadatiller.kernel import FailureError
-from cicadatiller.peer import (
-    ConfigRecords,
-    Failed,
-    Hello,
-    PeerLostError,
-    PeerTiming,
-    decode,
-    dial_peer,
-    encode,
-)
+from cicadatiller.peer import ConfigRecords, Failed, Hello, PeerLostError, PeerTiming, dial_peer
 from cicadatiller.peer._proof import compute_proof
 from cicadatiller.rpc._generated.cicadatiller.v1 import operators_pb, serving_pb
 from cicadatiller.rpc._generated.cicadatiller.v1.operators_connect import OperatorServiceClientSync
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,9 +4,10 @@
 from dataclasses import replace
 from unittest import mock
 
+from cicadatiller.channels import decode
 from cicadatiller.entry import RequestOpened
 from cicadatiller.kernel import CHARACTERS_PER_TOKEN, ErrorKind, Event, RequestState, RunState
-from cicadatiller.peer import Submit, decode
+from cicadatiller.peer import Submit
 from cicadatiller.peer._link import MAX_REMEMBERED_CALLS, CallDeduplicator
 from cicadatiller.sidecar._reconcile import LONGEST_STREAM_S, PREDECESSOR_GRACE_S, Reconciler
 from cicadatiller.standins import EngineModel, expected_answer
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -9,14 +9,9 @@
 import urllib3
 
 from cicadatiller.backing import HttpInstanceList, HttpLog, HttpWeightStore
+from cicadatiller.channels import ChannelClosedError, open_transport
 from cicadatiller.kernel import PeerTlsSettings
-from cicadatiller.peer import (
-    ChannelClosedError,
-    PeerLostError,
-    PeerTiming,
-    dial_peer,
-    open_transport,
-)
+from cicadatiller.peer import PeerLostError, PeerTiming, dial_peer
 from cicadatiller.sidecar import Sidecar, SidecarOptions
 from cicadatiller.standins import ServiceStandin
 
