--- a/src/cicadatiller/cli/_followed.py
+++ b/src/cicadatiller/cli/_followed.py
@@ -8,8 +8,8 @@
 from ._client import CommandError, ExitCode
 
 TIMEOUT_S = 2.0
-SETTINGS = "cicadatiller_settings_info"
-CONFIGURATION = "cicadatiller_config_info"
+SETTINGS = "cicadatiller_followed_settings_info"
+CONFIGURATION = "cicadatiller_followed_config_info"
 
 
 def followed_rows(urls: list[str]) -> list[dict[str, Any]]:
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -426,12 +426,12 @@
     def _infos(self) -> dict[str, dict[str, str]]:
         """Return what identifies the settings and the configuration that this entry follows."""
         return {
-            "settings": {
+            "followed_settings": {
                 "entry": self._node.name,
                 "revision": str(self.settings_revision.number),
                 "digest": self.settings_revision.digest,
             },
-            "config": {
+            "followed_config": {
                 "version": str(self.config_version),
                 "digest": self._configuration.digest,
             },
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -242,8 +242,8 @@
     """Which settings and configuration the entries on the platform follow."""
 
     PAGE = (
-        'cicadatiller_settings_info{digest="ab",entry="front-1",revision="2"} 1.0\n'
-        'cicadatiller_config_info{digest="cd",version="74"} 1.0\n'
+        'cicadatiller_followed_settings_info{digest="ab",entry="front-1",revision="2"} 1.0\n'
+        'cicadatiller_followed_config_info{digest="cd",version="74"} 1.0\n'
     )
 
     def serve(self, text):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -479,7 +479,7 @@
             'cicadatiller_failed_total{kind="UNKNOWN_SERVICE"} 1.0',
             'cicadatiller_sends_total{outcome="done"} 2.0',
             "cicadatiller_targets 2.0",
-            'cicadatiller_settings_info{digest="",entry="front-0",revision="1"} 1.0',
+            'cicadatiller_followed_settings_info{digest="",entry="front-0",revision="1"} 1.0',
             'version="3"} 1.0',
             'cicadatiller_first_event_seconds_count{prompt="<=4k"} 1.0',
             "cicadatiller_added_seconds_p95",
