Keep targets whose registrations expired while an entry started in an outage of the store

Ruled out: the grace time itself (the other entries kept theirs). Change: a first read after failed ones counts as the end of an outage.

--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -6,8 +6,8 @@
 
 from returns.result import Success
 
-from cicadatiller.kernel import load_settings
 from cicadatiller.load import LengthBand, Mix, WorkspaceShare
+from cicadatiller.settings import load_settings
 from cicadatiller.standins import EngineModel
 
 LARGE_WORKSPACE_WEIGHT = 5.0
--- a/src/cicadatiller/channels/_codec.py
+++ b/src/cicadatiller/channels/_codec.py
@@ -4,43 +4,46 @@
 unknown kind is rejected with an error that names the kind.
 """
 
-import operator
+import dataclasses
+import functools
 from collections.abc import Callable
-from typing import TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
-import cattrs
 import cbor2
 
 from ..kernel import ErrorKind, fail
 
+if TYPE_CHECKING:
+    import cattrs
+
 PROTOCOL_VERSION = 1
 
 M = TypeVar("M")
 
 _types_by_kind: dict[str, type] = {}
 _kinds_by_type: dict[type, str] = {}
-_converter = cattrs.Converter(omit_if_default=True)
-_converter.register_structure_hook(bytes, lambda value, _: bytes(value))
-_converter.register_unstructure_hook(bytes, lambda value: value)
+_body_fields: dict[type, str] = {}
+_flat_types: set[type] = set()
 
 
-def message(kind: str, *, body_field: str | None = None) -> Callable[[type[M]], type[M]]:
+def message(
+    kind: str, *, is_flat: bool = False, body_field: str | None = None
+) -> Callable[[type[M]], type[M]]:
     """Return a class decorator that registers a data class as the message of a kind.
 
     Args:
         kind: The kind of message.
-        body_field: The only field of the class, if its value is the frame's body as it is; None to
-            convert all fields.
+        is_flat: Whether all fields are plain values of CBOR, which need no conversion.
+        body_field: The only field of the class, if its value is the frame's body as it is.
     """
 
     def register(message_type: type[M]) -> type[M]:
         _types_by_kind[kind] = message_type
         _kinds_by_type[message_type] = kind
+        if is_flat:
+            _flat_types.add(message_type)
         if body_field is not None:
-            _converter.register_unstructure_hook(message_type, operator.attrgetter(body_field))
-            _converter.register_structure_hook(
-                message_type, lambda value, _: message_type(**{body_field: value})
-            )
+            _body_fields[message_type] = body_field
         return message_type
 
     return register
@@ -48,8 +51,8 @@
 
 def encode(message: object) -> bytes:
     """Encode a message as a frame."""
-    body = _converter.unstructure(message)
-    return cbor2.dumps([PROTOCOL_VERSION, _kinds_by_type[type(message)], body])
+    message_type = type(message)
+    return cbor2.dumps([PROTOCOL_VERSION, _kinds_by_type[message_type], _to_body(message)])
 
 
 def decode(frame: bytes) -> object:
@@ -73,8 +76,53 @@
     if message_type is None:
         raise fail(ErrorKind.PEER_PROTOCOL, f"unknown message kind {kind!r}")
     try:
-        return _converter.structure(body, message_type)
+        return _from_body(body, message_type)
     except Exception as error:
         raise fail(
             ErrorKind.PEER_PROTOCOL, f"message of kind {kind!r} has a malformed body"
         ) from error
+
+
+def _to_body(message: object) -> Any:
+    message_type = type(message)
+    if message_type in _body_fields:
+        return getattr(message, _body_fields[message_type])
+    if message_type in _flat_types:
+        return {
+            field.name: getattr(message, field.name)
+            for field in dataclasses.fields(message_type)  # type: ignore[arg-type]
+            if getattr(message, field.name) != field.default
+        }
+    return _converter().unstructure(message)
+
+
+def _from_body(body: Any, message_type: type) -> object:
+    if message_type in _body_fields:
+        return message_type(**{_body_fields[message_type]: body})
+    if message_type in _flat_types:
+        return _from_flat_body(body, message_type)
+    return _converter().structure(body, message_type)
+
+
+def _from_flat_body(body: Any, message_type: type) -> object:
+    values = {}
+    for field in dataclasses.fields(message_type):
+        if field.name not in body:
+            continue
+        value = body[field.name]
+        if not isinstance(value, field.type):  # type: ignore[arg-type]
+            raise TypeError(f"{field.name} is of type {type(value).__name__}")
+        values[field.name] = value
+    return message_type(**values)
+
+
+@functools.cache
+def _converter() -> "cattrs.Converter":
+    # Imported on first use: loading it takes a sixth of the start of an entry on the platform, which
+    # needs it only for peers that understand the first version of its protocol.
+    import cattrs
+
+    converter = cattrs.Converter(omit_if_default=True)
+    converter.register_structure_hook(bytes, lambda value, _: bytes(value))
+    converter.register_unstructure_hook(bytes, lambda value: value)
+    return converter
--- a/src/cicadatiller/channels/_transport.py
+++ b/src/cicadatiller/channels/_transport.py
@@ -2,19 +2,12 @@
 
 import ssl
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from websockets.asyncio.client import connect
-from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, serve
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from ..kernel import Registry
 
-from ..kernel import PeerTlsSettings, Registry
-
-MAX_FRAME_BYTES = 16 * 1024 * 1024
-DIAL_TIMEOUT_S = 2.0
-CLOSE_TIMEOUT_S = 1.0
-SEND_BUFFER_BYTES = 1024 * 1024
+if TYPE_CHECKING:
+    from ..settings import PeerTlsSettings
 
 
 class ChannelClosedError(Exception):
@@ -69,36 +62,6 @@
     return host, int(port)
 
 
-class _WebSocketChannel:
-    def __init__(self, connection: Connection) -> None:
-        self._connection = connection
-
-    async def send(self, frame: bytes) -> None:
-        try:
-            await self._connection.send(frame)
-        except ConnectionClosed as error:
-            raise ChannelClosedError(str(error)) from error
-
-    async def receive(self) -> bytes:
-        try:
-            frame = await self._connection.recv()
-        except ConnectionClosed as error:
-            raise ChannelClosedError(str(error)) from error
-        return frame.encode() if isinstance(frame, str) else frame
-
-    async def close(self) -> None:
-        self._connection.transport.abort()
-
-
-class _WebSocketListener:
-    def __init__(self, server: Server) -> None:
-        self._server = server
-
-    async def close(self) -> None:
-        self._server.close()
-        await self._server.wait_closed()
-
-
 @transport_registry.register("websocket")
 class WebSocketTransport:
     """Opens and accepts channels over WebSocket.
@@ -119,45 +82,19 @@
 
     async def dial(self, address: str) -> Channel:
         """Open a channel to "host:port"; raises `ChannelClosedError`."""
-        scheme = "wss" if self._client_tls else "ws"
-        try:
-            connection = await connect(
-                f"{scheme}://{address}/peer",
-                ssl=self._client_tls,
-                open_timeout=DIAL_TIMEOUT_S,
-                close_timeout=CLOSE_TIMEOUT_S,
-                ping_interval=None,
-                compression=None,
-                proxy=None,
-                max_size=MAX_FRAME_BYTES,
-                write_limit=SEND_BUFFER_BYTES,
-            )
-        except (TimeoutError, OSError, InvalidHandshake, ConnectionClosed) as error:
-            raise ChannelClosedError(f"cannot connect to {address}: {error}") from error
-        return _WebSocketChannel(connection)
+        # Imported on first use: an entry serves callers before it has loaded the library.
+        from ._websocket import dial
+
+        return await dial(address, self._client_tls)
 
     async def listen(self, address: str, handler: Handler) -> Listener:
         """Run the handler for each channel that is opened to an address."""
-        host, port = split_address(address)
-
-        async def accept(connection: Connection) -> None:
-            await handler(_WebSocketChannel(connection))
-
-        server = await serve(
-            accept,
-            host,
-            port,
-            ssl=self._server_tls,
-            close_timeout=CLOSE_TIMEOUT_S,
-            ping_interval=None,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            write_limit=SEND_BUFFER_BYTES,
-        )
-        return _WebSocketListener(server)
-
-
-def open_transport(name: str, tls: PeerTlsSettings | None) -> Transport:
+        from ._websocket import listen
+
+        return await listen(address, handler, self._server_tls)
+
+
+def open_transport(name: str, tls: "PeerTlsSettings | None") -> Transport:
     """Return a new transport by its registered name, with mutual TLS if it is configured."""
     if tls is None:
         return transport_registry.create(name)
--- a/src/cicadatiller/cli/_check.py
+++ b/src/cicadatiller/cli/_check.py
@@ -9,10 +9,11 @@
 
 from ..entry import EntrySettings
 from ..gateway import GatewaySettings
-from ..kernel import EXIT_BAD_SETTINGS, load_or_report
+from ..kernel import EXIT_BAD_SETTINGS
 from ..platform import PlatformSettingsError, check_deploy_file, load_node_settings
 from ..sidecar import SidecarSettings
 from ..standins import STANDIN_SETTINGS
+from ..startup import load_or_report
 
 SETTINGS_TYPES: dict[str, type[Any]] = {
     "entry": EntrySettings,
--- a/src/cicadatiller/cli/_demo.py
+++ b/src/cicadatiller/cli/_demo.py
@@ -14,11 +14,12 @@
 from ..backing import Instance, InstanceKind
 from ..config import hash_key
 from ..entry import Entry, EntryOptions
-from ..kernel import HttpOptions, LoopBridge, TaskSet
+from ..kernel import LoopBridge, TaskSet
 from ..rpc import RpcServer
 from ..rpc._generated.cicadatiller.v1 import operators_pb, serving_pb
 from ..rpc._generated.cicadatiller.v1.operators_connect import OperatorServiceClientSync
 from ..rpc._generated.cicadatiller.v1.serving_connect import ServingServiceClientSync
+from ..settings import HttpOptions
 from ..sidecar import Sidecar, SidecarOptions
 from ..standins import (
     EngineModel,
--- a/src/cicadatiller/cli/_manifests.py
+++ b/src/cicadatiller/cli/_manifests.py
@@ -11,8 +11,8 @@
 from returns.result import Success
 
 from ..config import parse_object
-from ..kernel import parse_settings
 from ..rpc._generated.cicadatiller.v1 import operators_pb as pb
+from ..settings import parse_settings
 from ._client import CommandError, ExitCode
 
 
--- a/src/cicadatiller/config/_objects.py
+++ b/src/cicadatiller/config/_objects.py
@@ -12,7 +12,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel import parse_settings
+from ..settings import parse_settings
 
 MAX_TIME_LIMIT_S = 3600.0
 
--- a/src/cicadatiller/entry/_request_checks.py
+++ b/src/cicadatiller/entry/_request_checks.py
@@ -5,8 +5,9 @@
 from returns.result import Success
 
 from ..config import ConfigStore, Model
-from ..kernel import ErrorKind, fail, parse_request_id
+from ..kernel import ErrorKind, fail
 from ..membership import InstanceView
+from ..request_ids import parse_request_id
 from ._dispatch import Dispatcher
 from ._requests import WorkRequest
 
--- a/src/cicadatiller/entry/_service.py
+++ b/src/cicadatiller/entry/_service.py
@@ -7,15 +7,7 @@
 from functools import partial
 
 from ..config import ConfigStore, Workspace
-from ..kernel import (
-    ErrorKind,
-    Failure,
-    FailureError,
-    RequestState,
-    RunState,
-    fail,
-    log_event,
-)
+from ..kernel import ErrorKind, Failure, FailureError, RequestState, RunState, fail, log_event
 from ..membership import InstanceView, Target
 from ..peer import PeerLostError, StateReply
 from ._admission import Admission
--- a/src/cicadatiller/entry/_settings.py
+++ b/src/cicadatiller/entry/_settings.py
@@ -4,18 +4,9 @@
 
 from ..backing import instance_list_registry, log_registry
 from ..channels import transport_registry
-from ..kernel import (
-    EndpointSettings,
-    HttpOptions,
-    PeerTlsSettings,
-    SecretSetting,
-    above_zero,
-    check_values,
-    not_empty,
-    not_negative,
-    registered,
-)
+from ..kernel import above_zero, check_values, not_empty, not_negative
 from ..peer import PeerTiming
+from ..settings import EndpointSettings, HttpOptions, PeerTlsSettings, SecretSetting, registered
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -117,7 +117,8 @@
         self._removals_from_offset = 0
         self._read_due_s = float("inf")
         self._awaited_offset = 0
-        self._last_read_s = self._loop.time()
+        self._last_read_s = float("-inf")
+        self._has_read = False
         self._failures = 0
         self._last_recovery_s = float("-inf")
         self._wake_up = asyncio.Event()
@@ -262,16 +263,16 @@
         except HistoryLostError:
             await self._read_newest()
             return
-        self._record_success()
         self._record_read()
+        self._record_success()
         self._count_read(has_records=bool(page.records))
         self._apply(page)
         self._on_read(self._topic, from_offset, page)
 
     async def _read_newest(self) -> None:
         page = await self._log.read_newest(self._topic)
-        self._record_success()
         self._record_read()
+        self._record_success()
         is_new = self.next_offset is None or page.next_offset > self.next_offset
         self._count_read(has_records=is_new and self.next_offset is not None)
         if is_new:
@@ -302,7 +303,9 @@
 
     def _record_read(self) -> None:
         now_s = self._loop.time()
-        had_outage = now_s - self._last_read_s > OUTAGE_S
+        # An entry that started in an outage may know the records from peers already.
+        had_outage = now_s - self._last_read_s > OUTAGE_S if self._has_read else self._failures > 0
+        self._has_read = True
         self._last_read_s = now_s
         if had_outage:
             self._last_recovery_s = now_s
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -1,6 +1,7 @@
 """Assembles an entry that serves HTTP/1.1 callers, and runs it until shutdown."""
 
 import asyncio
+import contextlib
 import random
 
 from ..channels import Transport, split_address
@@ -50,6 +51,8 @@
 SHUTDOWN_MARGIN_S = 0.5
 SHUTDOWN_POLL_S = 0.05
 
+MAX_MESH_DELAY_S = 0.3
+
 MISDIRECTED = 421
 MIN_PACE_CHANGE = 0.1
 
@@ -136,9 +139,9 @@
         await self._status_server.start(
             self._node.readiness_address, self._node.host, self._settings.metrics_port
         )
-        await self.peer_sync.mesh.start(self._node.peer_address)
         for topic, follower in self._followers.items():
             self._tasks.keep_running(follower.run, name=f"follow {topic.value}")
+        self._tasks.start(self._start_mesh(), name="start mesh")
         self._tasks.keep_running(self._membership.run, name="membership")
         self._tasks.keep_running(self._redialer.run, name="reviver")
         self._tasks.keep_running(self._prober.run, name="prober")
@@ -147,6 +150,17 @@
         await stopping.wait()
         await self._shut_down()
 
+    async def _start_mesh(self) -> None:
+        """Accept peers once callers can be served, or after `MAX_MESH_DELAY_S`.
+
+        Loading the library for the links takes a part of the time that a restart takes.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_MESH_DELAY_S):
+                await self._synced.wait()
+        await self.peer_sync.mesh.start(self._node.peer_address)
+        self._on_members_change()
+
     def apply_node_settings(self, node: NodeSettings, revision: SettingsRevision) -> None:
         """Apply reloaded settings; changed addresses take effect only after a restart."""
         self._node = node
@@ -351,6 +365,8 @@
         addresses = self._members.addresses
         self._subset.set_entries(addresses)
         self._budget.all_entries = len(self._subset.entries)
+        if not self.peer_sync.mesh.is_started:
+            return
         self.peer_sync.mesh.select_peers(
             {name: addresses[name] for name in self._subset.peers if name in addresses}
         )
--- a/src/cicadatiller/gateway/_settings.py
+++ b/src/cicadatiller/gateway/_settings.py
@@ -6,6 +6,7 @@
 from ._weights import WorthWeights
 
 MAX_PORT = 65_535
+DEFAULT_METRICS_PORT = 9464
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -20,7 +21,7 @@
             entry, at which this entry reads them from the store again.
     """
 
-    metrics_port: int = 0
+    metrics_port: int = DEFAULT_METRICS_PORT
     metrics_path: str = "/metrics"
     weights: WorthWeights = field(default_factory=WorthWeights)
     target_read_interval_s: float = 0.5
--- a/src/cicadatiller/load/_main.py
+++ b/src/cicadatiller/load/_main.py
@@ -8,7 +8,7 @@
 import typer
 from returns.result import Success
 
-from ..kernel import load_settings
+from ..settings import load_settings
 from ._driver import LoadDriver
 from ._mix import Mix
 from ._report import to_json, to_text
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -101,6 +101,11 @@
         if self._server is not None:
             await self._server.close()
 
+    @property
+    def is_started(self) -> bool:
+        """Return whether inbound links are accepted."""
+        return self._server is not None
+
     @property
     def queued_bytes(self) -> int:
         """Return the size of the frames that wait to be written to peers."""
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -13,7 +13,7 @@
 COMPACT_PROTOCOL = 2
 
 
-@message("mesh-greeting")
+@message("mesh-greeting", is_flat=True)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Greeting:
     """The first message on a link.
@@ -31,7 +31,7 @@
     protocol: int = FIRST_PROTOCOL
 
 
-@message("mesh-heard")
+@message("mesh-heard", is_flat=True)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HeartbeatAck:
     """Acknowledges a heartbeat or snapshot on the link that carried it.
@@ -165,7 +165,7 @@
     fields: list[Any]
 
 
-@message("mesh-topic-request")
+@message("mesh-topic-request", is_flat=True)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TopicRequest:
     """Asks a peer for the records of a topic that the sender lacks.
@@ -182,7 +182,7 @@
     complete_until: int = 0
 
 
-@message("mesh-topic-page")
+@message("mesh-topic-page", is_flat=True)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TopicPage:
     """The reply to a `TopicRequest`: the newest record of each key that changed since its offset.
--- a/src/cicadatiller/platform/__main__.py
+++ b/src/cicadatiller/platform/__main__.py
@@ -12,7 +12,7 @@
 from ..channels import open_transport
 from ..egress import ConnectionPool
 from ..gateway import Gateway, GatewaySettings, NodeSettings, SettingsWatch
-from ..kernel import EXIT_BAD_SETTINGS, LogOutput, load_or_report
+from ..kernel import EXIT_BAD_SETTINGS, LogOutput
 from ._documents import PlatformDocuments
 from ._headers import PlatformHeaders
 from ._log import PlatformLog
@@ -61,6 +61,9 @@
     arguments = parser.parse_args()
     settings: GatewaySettings | None = GatewaySettings()
     if arguments.settings is not None:
+        # Imported on first use: YAML and its conversion take a fifth of the start of the program.
+        from ..startup import load_or_report
+
         settings = load_or_report(arguments.settings, GatewaySettings)
     path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, "/etc/cicadatiller/boot.toml"))
     try:
--- a/src/cicadatiller/kernel/_ids.py
+++ b/src/cicadatiller/request_ids/_ids.py
@@ -10,16 +10,10 @@
 from returns.result import Result, Success
 
 REQUEST_ID_PREFIX = "ct1."
-INCARNATION_BYTES = 16
 NONCE_BYTES = 16
 MAX_REQUEST_ID_LENGTH = 512
 
 
-def new_incarnation() -> str:
-    """Return a random 128-bit id for one run of a process, as 32 hex digits."""
-    return secrets.token_hex(INCARNATION_BYTES)
-
-
 @dataclass(frozen=True, kw_only=True)
 class RequestId:
     """Identifies a request and the sidecar incarnation whose ledger runs it at most once.
--- a/src/cicadatiller/rpc/_http.py
+++ b/src/cicadatiller/rpc/_http.py
@@ -9,7 +9,8 @@
 
 from ..channels import split_address
 from ..entry import Entry
-from ..kernel import ErrorKind, Event, HttpOptions, LoopBridge, fail, log_event
+from ..kernel import ErrorKind, Event, LoopBridge, fail, log_event
+from ..settings import HttpOptions
 from ._generated.cicadatiller.v1.operators_connect import OperatorServiceWSGIApplication
 from ._generated.cicadatiller.v1.serving_connect import ServingServiceWSGIApplication
 from ._middleware import CallLimitMiddleware
--- a/src/cicadatiller/rpc/_main.py
+++ b/src/cicadatiller/rpc/_main.py
@@ -7,7 +7,8 @@
 from ..backing import instance_list_registry, log_registry
 from ..channels import open_transport
 from ..entry import Entry, EntryOptions, EntrySettings
-from ..kernel import Event, LoopBridge, log_event, run_from_command_line
+from ..kernel import Event, LoopBridge, log_event
+from ..startup import run_from_command_line
 from ._http import RpcServer
 
 
--- a/src/cicadatiller/kernel/_network_settings.py
+++ b/src/cicadatiller/settings/_network.py
@@ -4,9 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from ._http_timeouts import HttpTimeouts
-from ._registry import Registry
-from ._settings import above_zero, check_values, host_and_port, not_empty
+from ..kernel import HttpTimeouts, Registry, above_zero, check_values, host_and_port, not_empty
 
 MAX_BODY_BYTES = 12 * 1024 * 1024
 
--- a/src/cicadatiller/sidecar/_ledger.py
+++ b/src/cicadatiller/sidecar/_ledger.py
@@ -7,15 +7,9 @@
 
 from returns.result import Success
 
-from ..kernel import (
-    ErrorKind,
-    RequestState,
-    RunState,
-    fail,
-    new_request_id,
-    parse_request_id,
-)
+from ..kernel import ErrorKind, RequestState, RunState, fail
 from ..peer import Submit
+from ..request_ids import new_request_id, parse_request_id
 from ._ledger_entry import LedgerEntry
 
 MAX_OPENED = 20_000
--- a/src/cicadatiller/sidecar/_main.py
+++ b/src/cicadatiller/sidecar/_main.py
@@ -5,7 +5,7 @@
 
 from ..backing import instance_list_registry, log_registry, weight_store_registry
 from ..channels import open_transport
-from ..kernel import run_from_command_line
+from ..startup import run_from_command_line
 from ..targets import engine_registry, service_registry
 from ._options import SidecarOptions
 from ._process import Sidecar
--- a/src/cicadatiller/sidecar/_service.py
+++ b/src/cicadatiller/sidecar/_service.py
@@ -4,16 +4,7 @@
 from typing import Protocol
 
 from ..config import ConfigStore
-from ..kernel import (
-    ErrorKind,
-    Event,
-    RequestState,
-    RunState,
-    TaskSet,
-    fail,
-    failure,
-    log_event,
-)
+from ..kernel import ErrorKind, Event, RequestState, RunState, TaskSet, fail, failure, log_event
 from ..peer import (
     Attach,
     Cancel,
--- a/src/cicadatiller/sidecar/_settings.py
+++ b/src/cicadatiller/sidecar/_settings.py
@@ -5,18 +5,9 @@
 
 from ..backing import instance_list_registry, log_registry, weight_store_registry
 from ..channels import transport_registry
-from ..kernel import (
-    EndpointSettings,
-    PeerTlsSettings,
-    SecretSetting,
-    above_zero,
-    check_values,
-    host_and_port,
-    not_empty,
-    not_negative,
-    registered,
-)
+from ..kernel import above_zero, check_values, host_and_port, not_empty, not_negative
 from ..peer import PeerTiming
+from ..settings import EndpointSettings, PeerTlsSettings, SecretSetting, registered
 from ..targets import engine_registry, service_registry
 
 
--- a/src/cicadatiller/standins/_programs.py
+++ b/src/cicadatiller/standins/_programs.py
@@ -18,11 +18,10 @@
     above_zero,
     check_values,
     host_and_port,
-    load_or_report,
     new_incarnation,
     not_negative,
-    run_program,
 )
+from ..startup import load_or_report, run_program
 from ..targets import ModelRef
 from ._engine import EngineStandin
 from ._engine_model import EngineModel
--- a/src/cicadatiller/kernel/_program.py
+++ b/src/cicadatiller/startup/_program.py
@@ -14,11 +14,9 @@
 from eliot.stdlib import EliotHandler
 from returns.result import Result, Success
 
-from ._errors import FailureError
-from ._settings import load_settings
+from ..kernel import EXIT_BAD_SETTINGS, EXIT_FAILED, FailureError
+from ..settings import load_settings
 
-EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 T = TypeVar("T")
--- a/tests/support/live.py
+++ b/tests/support/live.py
@@ -4,8 +4,9 @@
 import socket
 import threading
 
-from cicadatiller.kernel import HttpOptions, LoopBridge
+from cicadatiller.kernel import LoopBridge
 from cicadatiller.rpc import RpcServer
+from cicadatiller.settings import HttpOptions
 
 from .fleet import Fleet
 
--- a/tests/support/served_fleet.py
+++ b/tests/support/served_fleet.py
@@ -3,8 +3,9 @@
 import asyncio
 import threading
 
-from cicadatiller.kernel import HttpOptions, LoopBridge
+from cicadatiller.kernel import LoopBridge
 from cicadatiller.rpc import RpcServer
+from cicadatiller.settings import HttpOptions
 from cicadatiller.standins import EngineModel
 
 from .fleet import Fleet
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -17,7 +17,8 @@
     digest,
 )
 from cicadatiller.entry._claims import APPENDS_PER_S, CLAIM_TIMEOUT_S
-from cicadatiller.kernel import ErrorKind, RunState, parse_request_id
+from cicadatiller.kernel import ErrorKind, RunState
+from cicadatiller.request_ids import parse_request_id
 from cicadatiller.sidecar._service import LATE_SUBMISSION_GRACE_S
 
 from .support import Fleet, PausedCase
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -88,6 +88,28 @@
         self.assertEqual(during, [200] * 4)
         self.assertEqual(after, {"t-2"})
 
+    def test_entry_started_in_a_store_outage_keeps_targets_whose_records_expired(self):
+        async def scenario(fleet):
+            for log in fleet.logs:
+                log.is_refused = True
+            await asyncio.sleep(1.0)
+            await fleet.restart(0, is_refused=True)
+            await asyncio.sleep(1.2)
+            for target in fleet.targets.values():
+                fleet.store.write("keyed.servers", target.instance_id, None)
+            for log in fleet.logs:
+                log.is_refused = False
+            statuses = []
+            for step in range(16):
+                await asyncio.sleep(0.1)
+                if step == 12:
+                    for target in fleet.targets.values():
+                        fleet.register(target)
+                statuses.append((await fleet.ask(entry=0)).status)
+            return statuses
+
+        self.assertEqual(self.run_scenario(scenario, entries=3, settle_s=2.5), [200] * 16)
+
     def test_record_removed_soon_after_an_outage_removes_its_target(self):
         async def scenario(fleet):
             fleet.store.fault_for_call = lambda path: 503
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,15 +2,9 @@
 
 import asyncio
 
-from cicadatiller.kernel import (
-    ErrorKind,
-    FailureError,
-    RequestState,
-    RunState,
-    failure,
-    new_request_id,
-)
+from cicadatiller.kernel import ErrorKind, FailureError, RequestState, RunState, failure
 from cicadatiller.peer import AnswerChecksum, GenerateWork, Submit
+from cicadatiller.request_ids import new_request_id
 from cicadatiller.sidecar import _ledger
 from cicadatiller.sidecar._ledger import Ledger
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -4,10 +4,11 @@
 
 from returns.result import Success
 
-from cicadatiller.kernel import parse_settings, prompt_bucket
+from cicadatiller.kernel import prompt_bucket
 from cicadatiller.load import LengthBand, Mix, RunResult, WorkspaceShare, make_prompt, plan_requests
 from cicadatiller.load._measure import LatencyRecorder
 from cicadatiller.load._report import to_json, to_text
+from cicadatiller.settings import parse_settings
 
 
 def make_mix(**changes) -> Mix:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,7 +12,7 @@
 from cicadatiller.cli import app
 from cicadatiller.cli._check import SETTINGS_TYPES
 from cicadatiller.entry import EntrySettings
-from cicadatiller.kernel import load_settings, parse_settings
+from cicadatiller.settings import load_settings, parse_settings
 from cicadatiller.sidecar import SidecarSettings
 
 from .support.tables import DOCS
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -10,8 +10,8 @@
 
 from cicadatiller.backing import HttpInstanceList, HttpLog, HttpWeightStore
 from cicadatiller.channels import ChannelClosedError, open_transport
-from cicadatiller.kernel import PeerTlsSettings
 from cicadatiller.peer import PeerLostError, PeerTiming, dial_peer
+from cicadatiller.settings import PeerTlsSettings
 from cicadatiller.sidecar import Sidecar, SidecarOptions
 from cicadatiller.standins import ServiceStandin
 
