--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -44,6 +44,8 @@
 MEMBERS_READ_INTERVAL_S = 60.0
 SWEEP_INTERVAL_S = 1.0
 FIGURES_INTERVAL_S = 10.0
+# Of the time for which a leaving target may still receive requests; leaves room for a failed read.
+TARGET_READ_SHARE = 0.25
 RUN_ID_DIGITS = 6
 
 # The load balancer polls readiness once a second and removes an entry after two failed polls.
@@ -252,7 +254,7 @@
                 log=log,
                 topic=Topic.TARGETS,
                 sink=targets,
-                interval_s=self._settings.target_read_interval_s,
+                interval_s=self._target_read_interval_s(),
                 on_read=self._share_read,
                 on_change=self._on_topic_change,
                 on_store_recovered=lambda: self._followers[Topic.CONFIGURATION].renew_poll(),
@@ -266,6 +268,10 @@
             ),
         }
 
+    def _target_read_interval_s(self) -> float:
+        chosen_s = self._settings.target_read_interval_s
+        return chosen_s or TARGET_READ_SHARE * self._node.bounds.target_drain_s
+
     def _make_peer_sync(self, transport: Transport) -> PeerSync:
         greeting = Greeting(
             name=self._node.name,
--- a/src/cicadatiller/gateway/_settings.py
+++ b/src/cicadatiller/gateway/_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..kernel import above_zero, check_values
+from ..kernel import check_values, not_negative
 from ._weights import WorthWeights
 
 MAX_PORT = 65_535
@@ -17,18 +17,19 @@
         metrics_port: The port of the metrics endpoint; 0 disables it.
         metrics_path: The path of the metrics endpoint; begins with a slash.
         weights: Weights that set the value of requests and their loss when late.
-        target_read_interval_s: The age of the last read of the targets' registrations, by any
-            entry, at which this entry reads them from the store again.
+        target_read_interval_s: The age of the last read of the targets' registrations, by this
+            entry or a peer, at which this entry reads them from the store again; 0 for a quarter of
+            the time for which a leaving target may still receive requests.
     """
 
     metrics_port: int = DEFAULT_METRICS_PORT
     metrics_path: str = "/metrics"
     weights: WorthWeights = field(default_factory=WorthWeights)
-    target_read_interval_s: float = 0.5
+    target_read_interval_s: float = 0.0
 
     def __post_init__(self) -> None:
         check_values(
             metrics_port="" if 0 <= self.metrics_port <= MAX_PORT else "must be a port or 0",
             metrics_path="" if self.metrics_path.startswith("/") else "must begin with a slash",
-            target_read_interval_s=above_zero(self.target_read_interval_s),
+            target_read_interval_s=not_negative(self.target_read_interval_s),
         )
