--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -187,11 +187,7 @@
             held = await self._reserve(grant)
             connection = await self._connect(grant, job)
         except ReservationError as error:
-            for target in error.failed_targets:
-                target.record_help_failure(self._loop.time())
-            return AttemptOutcome(
-                delivery=Delivery.UNSENT, reason=str(error), reservation_failed=True
-            )
+            return self._record_failed_reservation(error, grant, progress)
         except EgressError as error:
             return AttemptOutcome(delivery=Delivery.UNSENT, reason=str(error))
         else:
@@ -205,10 +201,20 @@
             if held is not None:
                 held.start_release_all()
 
+    def _record_failed_reservation(
+        self, error: ReservationError, grant: Grant, progress: Progress
+    ) -> AttemptOutcome:
+        for target in error.failed_targets:
+            if target is grant.host:
+                progress.tried.add(target.instance_id)
+            else:
+                target.record_help_failure(self._loop.time())
+        return AttemptOutcome(delivery=Delivery.UNSENT, reason=str(error), reservation_failed=True)
+
     async def _reserve(self, grant: Grant) -> ReservationGroup | None:
         if grant.placement is None or not grant.placement.shares:
             return None
-        targets = {helper.instance_id: helper for helper in grant.helpers}
+        targets = {member.instance_id: member for member in (grant.host, *grant.helpers)}
         held = await self._reservations.reserve_all(grant.work_id, grant.placement.shares, targets)
         held.start_renewal()
         return held
--- a/src/cicadatiller/gateway/_prompts.py
+++ b/src/cicadatiller/gateway/_prompts.py
@@ -50,7 +50,11 @@
 ) -> tuple[Work, ...]:
     """Return the work of each target of a placed prompt, that of the host first."""
     size = 1 + len(placement.helper_ids)
-    helper_kv_tokens = {share.target_id: share.tokens for share in placement.shares}
+    helper_kv_tokens = {
+        share.target_id: share.tokens
+        for share in placement.shares
+        if share.target_id != placement.host_id
+    }
     host = Work(
         work_id=work_id,
         owner=owner,
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -11,7 +11,7 @@
 
 # Share of `hold_after_use_s` that a reservation is held without renewal. It stays below 1 so that
 # the reservation of a failed owner expires before the engine's memory counts as leaked.
-HOLD_TIME_SHARE = 0.85
+HOLD_TIME_SHARE = 0.7
 RENEW_INTERVAL_SHARE = 0.5
 MAX_RESERVE_ATTEMPTS = 3
 LOSS_RATE_GAIN = 0.1
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -33,6 +33,8 @@
 REMOTE_COST = 0.005
 SPREAD_COST = 0.1
 KV_USABLE_SHARE = 0.95
+# A gang's host reserves its own part of the KV cache if that takes this share of its capacity.
+RESERVED_KV_SHARE = 0.15
 USABLE_SLOTS_SHARE = 0.75
 # A prompt is placed if the loss to others is at most the sum of these shares of its gain and of its
 # worth. A late prompt gains nothing, so only the second share applies to it.
@@ -80,7 +82,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReservationShare:
-    """The part of a prompt's KV cache to reserve at a helper."""
+    """The part of a prompt's KV cache to reserve at one member of its gang."""
 
     target_id: str
     tokens: int
@@ -93,7 +95,8 @@
     Attributes:
         host_id: The target that gets the request and decodes the output.
         helper_ids: The targets that prefill parts of the prompt; with the host, they are its gang.
-        shares: The KV cache tokens to reserve at helpers, in the order in which they are filled.
+        shares: The KV cache tokens to reserve, in the order in which they are filled: at the host if
+            it needs much of its memory, then at helpers.
         host_kv_tokens: The KV cache tokens that the host needs.
         part_prefill_s: The prefill time of each member's part, as modelled.
         first_event_in_s: The expected time until the first event.
@@ -311,7 +314,7 @@
     return Placement(
         host_id=host.target_id,
         helper_ids=tuple(view.target_id for view in helpers),
-        shares=shares,
+        shares=(*_host_share(prompt, host, host_kv_tokens, size), *shares),
         host_kv_tokens=host_kv_tokens,
         part_prefill_s=part_s,
         first_event_in_s=first_s,
@@ -390,6 +393,20 @@
     return max(prompt.due_in_s, prompt.max_gap_s)
 
 
+def _host_share(
+    prompt: Prompt, host: _CandidateView, host_kv_tokens: int, size: int
+) -> tuple[ReservationShare, ...]:
+    """Return what to reserve at the host of a gang; empty if it needs little of its memory.
+
+    Without a reservation, a prompt that another entry has just placed there would make this one
+    wait in the host's queue until the memory is free again.
+    """
+    tokens = host_kv_tokens - prompt.output_tokens
+    if size == 1 or tokens < RESERVED_KV_SHARE * host.model.kv_capacity_tokens:
+        return ()
+    return (ReservationShare(target_id=host.target_id, tokens=tokens),)
+
+
 def _share_memory(
     prompt: Prompt, host: _CandidateView, helpers: list[_CandidateView]
 ) -> tuple[int, tuple[ReservationShare, ...]] | None:
