--- a/bench/placement_rounds.py
+++ b/bench/placement_rounds.py
@@ -13,13 +13,13 @@
 import typer
 
 from cicadatiller.placement import place_prompt
-from tests.support.placement_simulation import (
-    PlacementSimulation,
+from tests.support.placement_baselines import (
     least_in_flight,
     place_without_demand,
     round_robin,
     share_of_worth,
 )
+from tests.support.placement_simulation import PlacementSimulation
 from tests.test_placement import HUGE, MIDDLE, SHORT, mostly_long, mostly_short
 
 JOBS = 3
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -9,12 +9,8 @@
 from cicadatiller.kernel import MAX_RENDEZVOUS_WEIGHT, rendezvous_weight
 from cicadatiller.placement import LoadBoard, Work
 
-from .support.placement_simulation import (
-    ENGINE,
-    PlacementSimulation,
-    share_of_worth,
-    share_on_time,
-)
+from .support.placement_baselines import share_of_worth, share_on_time
+from .support.placement_simulation import ENGINE, PlacementSimulation
 from .test_placement import HUGE, MIDDLE, SHORT, mostly_long, mostly_short
 from .test_subset import make_directory
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -23,14 +23,8 @@
     read_s,
 )
 
-from .support.placement_simulation import (
-    ENGINE,
-    PlacementSimulation,
-    PromptKind,
-    least_in_flight,
-    share_of_worth,
-    share_on_time,
-)
+from .support.placement_baselines import least_in_flight, share_of_worth, share_on_time
+from .support.placement_simulation import ENGINE, PlacementSimulation, PromptKind
 
 SHORT = PromptKind(
     name="short",
