Dial peers again after both sides gave up their links

Found while reading: after a cut of more than 60 s neither side dials, so both stay alone unless one is removed and registers again, which needs the store. Test: fails on the code before. A second test covers the removal of an entry that is gone and its return.

--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -44,6 +44,8 @@
 MEMBERS_READ_INTERVAL_S = 60.0
 SWEEP_INTERVAL_S = 1.0
 FIGURES_INTERVAL_S = 10.0
+# After a cut that lasted so long that both sides gave up their links, they are dialled again.
+PEER_SELECTION_INTERVAL_S = 30.0
 # Of the time for which a leaving target may still receive requests; leaves room for a failed read.
 TARGET_READ_SHARE = 0.25
 RUN_ID_DIGITS = 6
@@ -134,6 +136,11 @@
         table = self._configuration.table
         return 0 if table is None else table.version
 
+    @property
+    def known_entries(self) -> tuple[str, ...]:
+        """Return the names of all registered entries, this one included."""
+        return self._subset.entries
+
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve callers until `stopping` is set, then shut down gracefully."""
         self._stall.start()
@@ -208,10 +215,14 @@
         await self.close()
 
     async def _sweep(self) -> None:
+        next_selection_s = self._loop.time() + PEER_SELECTION_INTERVAL_S
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._pool.close_expired()
             self._log_figures()
+            if self._loop.time() >= next_selection_s:
+                next_selection_s += PEER_SELECTION_INTERVAL_S
+                self._on_members_change()
             suspended_s = self._clock.suspended_s()
             if suspended_s:
                 log_event(Event.CLOCK_JUMPED, suspended_s=round(suspended_s, 1))
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -53,6 +53,35 @@
 
         self.assertEqual(self.run_scenario(scenario), (0, ENTRIES - 1))
 
+    def test_entries_that_gave_up_on_each_other_find_each_other_again(self):
+        async def scenario(fleet):
+            for log in fleet.logs:
+                log.is_refused = True
+            fleet.peers.severed = lambda source, destination: "10.0.0.1:82" in (source, destination)
+            await asyncio.sleep(80.0)
+            fleet.peers.severed = None
+            await asyncio.sleep(35.0)
+            return [len(gateway.peer_sync.mesh.connected_peers) for gateway in fleet.gateways]
+
+        self.assertEqual(self.run_scenario(scenario), [ENTRIES - 1] * ENTRIES)
+
+    def test_entry_that_is_gone_for_long_is_removed_and_comes_back(self):
+        async def scenario(fleet):
+            await fleet.kill(0)
+            await asyncio.sleep(70.0)
+            removed = "front-0" not in fleet.store.newest("keyed.status")
+            known = [len(gateway.known_entries) for gateway in fleet.gateways[1:]]
+            await fleet.restart(0)
+            await asyncio.sleep(5.0)
+            back = "front-0" in fleet.store.newest("keyed.status")
+            connected = [len(g.peer_sync.mesh.connected_peers) for g in fleet.gateways]
+            return removed, known, back, connected
+
+        self.assertEqual(
+            self.run_scenario(scenario),
+            (True, [ENTRIES - 1] * (ENTRIES - 1), True, [ENTRIES - 1] * ENTRIES),
+        )
+
     def test_entries_share_reads_of_target_registrations(self):
         async def scenario(fleet):
             before = fleet.store.calls.count("/log-read")
