Read removals back, and keep the link to a peer that has just dialled

Cause: the entry that writes a removal did not read it back, so that all learned of it by their own read, after 60 to 90 s.

Peers that had just read its removal run one timer that closes the links to all peers that are not selected; it also closed the link with which they had just answered the returning entry. Without that link they could not ask it for the registration that they lacked, either, and it stayed without updates until their next read.

Now a removal is read back as a registration is, each link has its own time to be closed, and a request to a peer that only sends opens the link. Ruled out: a slow store (it answers at once here) and the names (the one responsible entry is the same in all plays).

Tests that failed first: two in test_mesh, one in test_peer_sync.

--- a/src/cicadatiller/gateway/_members.py
+++ b/src/cicadatiller/gateway/_members.py
@@ -10,7 +10,7 @@
 from ._followers import TopicFollower
 
 RETRY_DELAY_S = 0.5
-# After it has registered, an entry reads the registrations again within these times, unless a peer
+# After it has written, an entry reads the registrations again within these times, unless a peer
 # sends them before. Entries that start together then need few reads between them.
 MIN_REREAD_DELAY_S = 0.2
 MAX_REREAD_DELAY_S = 2.0
@@ -107,7 +107,9 @@
         if responsible != self._name or name not in self._sink.addresses:
             return
         log_event(Event.PEER_REMOVED, peer=name, address=self._sink.addresses[name])
-        await self._put(name, None)
+        offset = await self._put(name, None)
+        if offset is not None:
+            self._read_back(offset)
 
     def _is_missing(self) -> bool:
         was_read = self._follower.next_offset is not None
@@ -120,10 +122,14 @@
             if offset is None:
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            delay_s = random.uniform(MIN_REREAD_DELAY_S, MAX_REREAD_DELAY_S)
-            self._follower.read_within(delay_s, end_offset=offset + 1)
+            self._read_back(offset)
             return
 
+    def _read_back(self, offset: int) -> None:
+        """Read what this entry wrote, by which its peers learn of it, too."""
+        delay_s = random.uniform(MIN_REREAD_DELAY_S, MAX_REREAD_DELAY_S)
+        self._follower.read_within(delay_s, end_offset=offset + 1)
+
     async def _put(self, name: str, value: bytes | None) -> int | None:
         try:
             return await self._log.put(Topic.MEMBERS, name, value)
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -83,6 +83,8 @@
         self._links: dict[str, OutboundLink] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._selected: dict[str, str] = {}
+        # When links to peers that are not selected are closed, by address.
+        self._closing_due_s: dict[str, float] = {}
         self._inbound: dict[str, Channel] = {}
         self._inbound_greetings: dict[str, Greeting] = {}
         self._server: Listener | None = None
@@ -129,9 +131,10 @@
             if address != self._greeting.address
         }
         for address in self._selected:
+            self._closing_due_s.pop(address, None)
             self._open_link(address)
-        loop = asyncio.get_running_loop()
-        loop.call_later(UNSELECTED_LINK_S, self._close_unselected_links)
+        for address in self._links.keys() - self._selected.keys() - self._closing_due_s.keys():
+            self._close_later(address)
 
     def broadcast(self, update: Update) -> None:
         """Queue an update on all outbound links."""
@@ -142,10 +145,16 @@
     async def request(
         self, name: str, request: TopicRequest, *, timeout_s: float
     ) -> TopicPage | None:
-        """Ask one peer for records; return None if it can't answer or does not in time."""
+        """Ask one peer for records; return None if it can't answer or does not in time.
+
+        A link to it is opened if there is none, for the next request.
+        """
         greeting = self._inbound_greetings.get(name)
-        link = None if greeting is None else self._links.get(greeting.address)
+        if greeting is None:
+            return None
+        link = self._links.get(greeting.address)
         if link is None:
+            self._answer_link(greeting)
             return None
         return await link.request(request, timeout_s=timeout_s)
 
@@ -174,23 +183,31 @@
         if name is not None:
             self._listener.peer_given_up(name)
 
-    def _close_unselected_links(self) -> None:
+    def _close_later(self, address: str) -> None:
+        """Close the link to a peer after `UNSELECTED_LINK_S`, unless it is selected by then."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + UNSELECTED_LINK_S
+        self._closing_due_s[address] = due_s
+        loop.call_at(due_s, self._close_unselected, address, due_s)
+
+    def _close_unselected(self, address: str, due_s: float) -> None:
+        if self._closing_due_s.get(address) != due_s:
+            return
+        del self._closing_due_s[address]
         # Peers that understand only the first version of the protocol expect updates of all entries.
-        kept = {
-            greeting.address
+        is_kept = any(
+            greeting.address == address and greeting.protocol < COMPACT_PROTOCOL
             for greeting in self._inbound_greetings.values()
-            if greeting.protocol < COMPACT_PROTOCOL
-        }
-        for address, task in list(self._link_tasks.items()):
-            if address not in self._selected and address not in kept:
-                task.cancel()
+        )
+        task = self._link_tasks.get(address)
+        if task is not None and not is_kept:
+            task.cancel()
 
     def _answer_link(self, greeting: Greeting) -> None:
         """Open a link to a peer that dialled this entry."""
         self._open_link(greeting.address)
         if greeting.address not in self._selected:
-            loop = asyncio.get_running_loop()
-            loop.call_later(UNSELECTED_LINK_S, self._close_unselected_links)
+            self._close_later(greeting.address)
 
     async def _accept(self, channel: Channel) -> None:
         try:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -233,6 +233,36 @@
 
         self.assertEqual(self.run_paused(scenario()), (5, None))
 
+    def test_link_to_a_peer_that_dials_is_not_closed_by_an_earlier_change(self):
+        async def scenario():
+            first, _ = await self.start(1)
+            second, _ = await self.start(2)
+            first.select_peers({})
+            await asyncio.sleep(4.0)
+            second.select_peers({"e1": "10.0.0.1:82"})
+            await asyncio.sleep(4.0)
+            kept = second.connected_peers
+            await asyncio.sleep(4.0)
+            return kept, second.connected_peers
+
+        self.assertEqual(self.run_paused(scenario()), (("e1",), ()))
+
+    def test_request_opens_the_link_to_a_peer_that_only_sends(self):
+        async def scenario():
+            first, _ = await self.start(1)
+            second, _ = await self.start(2)
+            second.select_peers({"e1": "10.0.0.1:82"})
+            await asyncio.sleep(20.0)
+            request = TopicRequest(topic="targets", from_offset=4)
+            before = await first.request("e2", request, timeout_s=1.0)
+            await asyncio.sleep(0.3)
+            page = await first.request("e2", request, timeout_s=1.0)
+            return before, page
+
+        before, page = self.run_paused(scenario())
+        self.assertIsNone(before)
+        self.assertEqual(page.next_offset, 5)
+
     def test_peer_that_can_not_be_reached_is_given_up(self):
         async def scenario():
             mesh, listener = await self.start(1)
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -82,6 +82,19 @@
             (True, [ENTRIES - 1] * (ENTRIES - 1), True, [ENTRIES - 1] * ENTRIES),
         )
 
+    def test_entry_that_comes_back_just_after_its_removal_is_connected(self):
+        async def scenario(fleet):
+            await fleet.kill(0)
+            while any(len(g.known_entries) == ENTRIES for g in fleet.gateways[1:]):
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1.0)
+            await fleet.restart(0)
+            await asyncio.sleep(5.0)
+            return [len(g.peer_sync.mesh.connected_peers) for g in fleet.gateways]
+
+        for _ in range(5):
+            self.assertEqual(self.run_scenario(scenario), [ENTRIES - 1] * ENTRIES)
+
     def test_entries_share_reads_of_target_registrations(self):
         async def scenario(fleet):
             before = fleet.store.calls.count("/log-read")
