Move the records that an entry knows out of the follower

Without change of behaviour: TopicFollower reads and applies, KnownRecords keeps the newest records and removals and makes the pages for peers that are behind.

--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import Protocol
 
 from ..fleet import (
@@ -15,6 +14,7 @@
     Topic,
 )
 from ..kernel import Event, log_event
+from ._known_records import CatchUpPage, KnownRecords
 
 FIRST_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
@@ -23,8 +23,6 @@
 # After this many reads in a row with new records, only the newest record of each key is read, since
 # the records between would delay it.
 MAX_READS_OF_ALL_RECORDS = 2
-# The removals that are kept for peers that are behind.
-MAX_REMOVALS = 1024
 # Without a successful read by any entry for this time, the store counts as having had an outage.
 OUTAGE_S = 1.5
 # Registrations of targets that expired during an outage are renewed within about two seconds of
@@ -53,19 +51,6 @@
         """
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CatchUpPage:
-    """Records for an entry that is behind.
-
-    Attributes:
-        page: The newest record of each key that changed, or of every key, and removals.
-        is_complete: Whether `page` has the newest record of every key.
-    """
-
-    page: KeyedPage
-    is_complete: bool
-
-
 class TopicFollower:
     """Reads new records of one topic, unless a peer has just read and sent them.
 
@@ -81,9 +66,6 @@
         on_read: Called with the topic, the first offset and the page that this entry read.
         on_change: Called after records were applied, from the store or from a peer.
         on_store_recovered: Called when records can be read again after an outage of the store.
-
-    Attributes:
-        next_offset: First offset of the next read; None until the topic has been read.
     """
 
     def __init__(
@@ -99,7 +81,6 @@
         on_change: Callable[[], None],
         on_store_recovered: Callable[[], None] = lambda: None,
     ) -> None:
-        self.next_offset: int | None = None
         self._log = log
         self._topic = topic
         self._sink = sink
@@ -111,10 +92,7 @@
         self._on_change = on_change
         self._on_store_recovered = on_store_recovered
         self._loop = asyncio.get_running_loop()
-        self._newest: dict[str, KeyedRecord] = {}
-        self._removals: dict[str, KeyedRecord] = {}
-        # Removals before this offset are no longer known.
-        self._removals_from_offset = 0
+        self._known = KnownRecords()
         self._read_due_s = float("inf")
         self._awaited_offset = 0
         self._last_read_s = float("-inf")
@@ -124,6 +102,11 @@
         self._wake_up = asyncio.Event()
         self._read_timeout: asyncio.Timeout | None = None
 
+    @property
+    def next_offset(self) -> int | None:
+        """Return the first offset of the next read; None until the topic has been read."""
+        return self._known.next_offset
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
@@ -158,28 +141,8 @@
             self._wake_up.set()
 
     def page_since(self, offset: int, *, complete_until: int, max_bytes: int) -> CatchUpPage | None:
-        """Return what an entry lacks that has read up to `offset`; None if it lacks nothing.
-
-        Args:
-            offset: The entry's next offset; 0 if it has read nothing.
-            complete_until: The offset up to which it knows all removals; 0 if it had no records
-                before the first page.
-            max_bytes: The size of the values after which a page ends, unless it is complete.
-        """
-        if self.next_offset is None or offset >= self.next_offset:
-            return None
-        if 0 < complete_until < self._removals_from_offset:
-            return CatchUpPage(page=self._page(self._newest.values()), is_complete=True)
-        changed = [r for r in self._newest.values() if r.offset >= offset]
-        changed += [r for r in self._removals.values() if r.offset >= offset]
-        changed.sort(key=lambda record: record.offset)
-        size_bytes = 0
-        for count, record in enumerate(changed, 1):
-            size_bytes += len(record.value or b"")
-            if size_bytes >= max_bytes and count < len(changed):
-                part = KeyedPage(records=tuple(changed[:count]), next_offset=record.offset + 1)
-                return CatchUpPage(page=part, is_complete=False)
-        return CatchUpPage(page=self._page(changed), is_complete=False)
+        """Return what an entry lacks that has read up to `offset`; see `KnownRecords`."""
+        return self._known.page_since(offset, complete_until=complete_until, max_bytes=max_bytes)
 
     def apply_catch_up(
         self, page: KeyedPage, *, is_complete: bool, complete_until: int = 0
@@ -200,7 +163,7 @@
             self._replace(page)
             return
         if not complete_until:
-            self._removals_from_offset = page.next_offset
+            self._known.forget_removals_before(page.next_offset)
         self._apply(page)
 
     def apply_read_of_peer(self, from_offset: int, page: KeyedPage) -> None:
@@ -284,21 +247,15 @@
     def _apply(self, page: KeyedPage) -> None:
         """Apply the newest record of each key; those before it have no effect any more."""
         grace_s = self._grace_s()
-        known = self.next_offset or 0
-        newest = {record.key: record for record in page.records if record.offset >= known}
-        for record in newest.values():
-            self._update_newest(record)
+        added = self._known.add(page)
+        for record in added:
             self._sink.apply(record, grace_s=grace_s)
-        self.next_offset = max(known, page.next_offset)
-        if newest:
+        if added:
             self._on_change()
 
     def _replace(self, page: KeyedPage) -> None:
-        self._newest = {record.key: record for record in page.records if record.value is not None}
-        self._removals.clear()
-        self._removals_from_offset = page.next_offset
+        self._known.replace(page)
         self._sink.replace(page, grace_s=self._grace_s())
-        self.next_offset = max(self.next_offset or 0, page.next_offset)
         self._on_change()
 
     def _record_read(self) -> None:
@@ -315,22 +272,6 @@
         """Return the time for which a key that is removed now may still be written again."""
         return max(0.0, self._last_recovery_s + REMOVAL_GRACE_S - self._loop.time())
 
-    def _update_newest(self, record: KeyedRecord) -> None:
-        if record.value is not None:
-            self._removals.pop(record.key, None)
-            self._newest[record.key] = record
-            return
-        self._newest.pop(record.key, None)
-        self._removals.pop(record.key, None)
-        self._removals[record.key] = record
-        if len(self._removals) > MAX_REMOVALS:
-            oldest = self._removals.pop(next(iter(self._removals)))
-            self._removals_from_offset = max(self._removals_from_offset, oldest.offset + 1)
-
-    def _page(self, records: Iterable[KeyedRecord]) -> KeyedPage:
-        ordered = sorted(records, key=lambda record: record.offset)
-        return KeyedPage(records=tuple(ordered), next_offset=self.next_offset or 0)
-
     def _retry_delay_s(self) -> float:
         delay_s: float = FIRST_RETRY_DELAY_S * 2.0 ** (self._failures - 1)
         jitter = random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
