--- a/src/cicadatiller/kernel/_stall.py
+++ b/src/cicadatiller/kernel/_stall.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from ._events import Event, log_event
+
 TICK_S = 0.1
 STALL_THRESHOLD_S = 0.5
 SETTLE_DELAY_S = 0.05
@@ -47,7 +49,9 @@
 
     def _tick(self) -> None:
         now_s = self._loop.time()
-        if now_s - self._next_tick_s > STALL_THRESHOLD_S:
+        late_s = now_s - self._next_tick_s
+        if late_s > STALL_THRESHOLD_S:
             self.stalls += 1
             self._settles_at_s = now_s + SETTLE_DELAY_S
+            log_event(Event.STALLED, late_s=round(late_s, 3))
         self.start()
--- a/src/cicadatiller/mesh/_link.py
+++ b/src/cicadatiller/mesh/_link.py
@@ -155,6 +155,8 @@
         self.queued_bytes += len(frame)
         self._has_frames.set()
         if self.queued_bytes > MAX_QUEUED_BYTES and self._channel is not None:
+            log_event(Event.PEER_BACKLOG, peer=self.address, queued_bytes=self.queued_bytes)
+            self.is_up = False
             asyncio.get_running_loop().create_task(self._channel.close())
 
     async def run(self) -> None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -6,6 +6,7 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from unittest import mock
 
 from cicadatiller.fleet import (
     Breaker,
@@ -23,6 +24,7 @@
 from cicadatiller.gateway._reload import changed_fields
 from cicadatiller.gateway._retry_budget import RetryBudget
 from cicadatiller.ingress import Response
+from cicadatiller.kernel import Event, StallWatch
 from cicadatiller.placement import CallCandidate, TargetLoad, Work, place_call
 
 from .support import PausedCase
@@ -30,6 +32,25 @@
 from .support.streams import NetworkCase
 
 
+class StallWatchTest(PausedCase):
+    def test_stall_is_counted_and_logged_with_its_length(self):
+        async def scenario():
+            watch = StallWatch()
+            watch.start()
+            await asyncio.sleep(1.0)
+            asyncio.get_running_loop().advance(2.0)
+            await asyncio.sleep(0.3)
+            watch.close()
+            return watch.stalls
+
+        with mock.patch("cicadatiller.kernel._stall.log_event") as log_event:
+            stalls = self.run_paused(scenario())
+        self.assertEqual(stalls, 1)
+        [call] = log_event.mock_calls
+        self.assertIs(call.args[0], Event.STALLED)
+        self.assertAlmostEqual(call.kwargs["late_s"], 2.0, delta=0.11)
+
+
 class EventSplitterTest(unittest.TestCase):
     def test_events_are_whole_for_any_chunk_size(self):
         data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight: 3\nid: 3\ndata: c\n\n"
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,9 +3,10 @@
 import asyncio
 import math
 import unittest
+from unittest import mock
 
-from cicadatiller.channels import decode, encode
-from cicadatiller.kernel import TaskSet
+from cicadatiller.channels import ChannelClosedError, decode, encode
+from cicadatiller.kernel import Event, TaskSet
 from cicadatiller.mesh import (
     COMPACT_PROTOCOL,
     FIRST_PROTOCOL,
@@ -25,6 +26,7 @@
     pack_records,
     unpack_records,
 )
+from cicadatiller.mesh._link import MAX_QUEUED_BYTES
 from cicadatiller.standins import MemoryNetwork
 
 from .support.streams import NetworkCase
@@ -272,6 +274,53 @@
 
         self.assertEqual(self.run_paused(scenario()), ["e2"])
 
+    def test_link_with_too_many_bytes_waiting_is_closed_once(self):
+        class SlowChannel:
+            """Takes the greeting and the snapshot, then no frame until it is closed."""
+
+            def __init__(self):
+                self.sent = 0
+                self.is_closed = asyncio.Event()
+
+            async def send(self, frame):
+                self.sent += 1
+                if self.sent > 2:
+                    await self.is_closed.wait()
+                    raise ChannelClosedError("closed")
+
+            async def receive(self):
+                await self.is_closed.wait()
+                raise ChannelClosedError("closed")
+
+            async def close(self):
+                self.is_closed.set()
+
+        class SlowTransport:
+            async def dial(self, address):
+                return SlowChannel()
+
+        async def scenario():
+            greeting = Greeting(name="e1", incarnation="e1-run", address="10.0.0.1:82", protocol=2)
+            mesh = Mesh(
+                greeting=greeting,
+                transport=SlowTransport(),
+                listener=RecordingListener(),
+                tasks=TaskSet(),
+            )
+            mesh.select_peers({"e2": "10.0.0.2:82"})
+            await asyncio.sleep(0.05)
+            update = Update(added=tuple(make_share(work_id=f"e1-run-{n}") for n in range(100)))
+            for _ in range(60):
+                mesh.broadcast(update)
+            return mesh.queued_bytes
+
+        with mock.patch("cicadatiller.mesh._link.log_event") as log_event:
+            queued_bytes = self.run_paused(scenario())
+        events = [call for call in log_event.mock_calls if call.args[0] is Event.PEER_BACKLOG]
+        self.assertEqual(len(events), 1)
+        self.assertEqual(events[0].kwargs["peer"], "10.0.0.2:82")
+        self.assertLess(queued_bytes, 2 * MAX_QUEUED_BYTES)
+
     def record_frame(self, source, destination, frame):
         self.frames.append(frame)
         return [frame]
