--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 
 from ..channels import Transport, split_address
 from ..egress import ConnectionPool
@@ -12,7 +13,7 @@
 from ..mesh import COMPACT_PROTOCOL, Greeting
 from ..placement import LoadBoard
 from ..routes import RouteTable, Service
-from ._clock import ClockWatch
+from ._clock import ClockWatch, boot_clock_s
 from ._contention import Contention
 from ._exposition import Exposition
 from ._followers import TopicFollower
@@ -73,6 +74,7 @@
         pool: The connections to targets.
         orders: Sends orders to engines.
         transport: Carries frames between entries.
+        boot_time_s: Returns the time of the clock that advances while the machine is suspended.
 
     Attributes:
         board: The known load of all targets.
@@ -91,6 +93,7 @@
         pool: ConnectionPool,
         orders: EngineClient,
         transport: Transport,
+        boot_time_s: Callable[[], float] = boot_clock_s,
     ) -> None:
         self._node = node
         self._settings = settings or GatewaySettings()
@@ -106,7 +109,7 @@
         self._stall = StallWatch()
         self._synced = asyncio.Event()
         self._next_figures_s = self._loop.time() + FIGURES_INTERVAL_S
-        self._clock = ClockWatch(loop_time_s=self._loop.time)
+        self._clock = ClockWatch(loop_time_s=self._loop.time, boot_time_s=boot_time_s)
         self._configuration = ConfigurationSink(decoder=decoder, on_change=self._apply_limits)
         self._budget = RetryBudget(
             ratio=node.bounds.retry_ratio,
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -231,6 +231,7 @@
             pool=pool,
             orders=PlatformEngineClient(pool=pool),
             transport=self.peers.bind(node.peer_address),
+            boot_time_s=self.loop.time,
         )
         stop = asyncio.Event()
         self._stops[number] = stop
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -157,3 +157,27 @@
             return [len(target.runs) for target in fleet.targets.values()]
 
         self.assertEqual(self.run_scenario(scenario), [0, self.ENTRIES])
+
+
+class StartTest(NetworkCase):
+    """All entries of a fleet start at once."""
+
+    def store_calls_per_entry(self, entries):
+        async def run():
+            fleet = GatewayFleet()
+            await fleet.start(entries=0, targets=("pool",) * 30, settle_s=1.0)
+            fleet.store.calls.clear()
+            for _ in range(entries):
+                await fleet.add_gateway()
+            await asyncio.sleep(10.0)
+            known = [len(gateway.known_entries) for gateway in fleet.gateways]
+            return known, len(fleet.store.calls) / entries
+
+        return self.run_paused(run())
+
+    def test_calls_of_the_store_grow_with_the_entries_only(self):
+        few_known, few = self.store_calls_per_entry(6)
+        many_known, many = self.store_calls_per_entry(24)
+        self.assertEqual((few_known, many_known), ([6] * 6, [24] * 24))
+        self.assertLess(many, 1.25 * few)
+        self.assertLess(many, 10)
