--- /dev/null
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -0,0 +1,120 @@
+"""The targets that may receive a request, as the placement policy sees them."""
+
+from collections.abc import Callable
+
+from ..fleet import Target, eject_failing, eject_slow, usable_targets
+from ..kernel import MAX_RENDEZVOUS_WEIGHT, ErrorKind, fail, rendezvous_weight
+from ..placement import CallCandidate, Candidate, LoadBoard, TargetLoad
+from ..routes import EngineModel
+from ._waiter import Waiter
+
+NO_TARGET_RETRY_S = 1.0
+
+MayPlace = Callable[[str, TargetLoad, int, float], bool]
+UnknownRequests = Callable[[str, TargetLoad, float], float]
+
+
+class CandidateTargets:
+    """Selects the targets that may receive a request and describes them.
+
+    Args:
+        owner: Id of this run of the entry, by which it ranks targets that are otherwise equal.
+        data_centre: Data centre of this entry.
+        targets: Returns the targets of a service that this entry uses and that accept work.
+        spare_targets: Returns all targets of a service that accept work; used if none of the others
+            is left for a request.
+        board: The load of each target.
+        unknown_requests: Returns the expected number of requests on a target that other entries
+            have placed and this entry does not know of, from the target's id, load and the time.
+        may_place: Returns whether this entry may place one more request on a target now, from the
+            target's id, load and slots and the time.
+    """
+
+    def __init__(
+        self,
+        *,
+        owner: str,
+        data_centre: str,
+        targets: Callable[[str], list[Target]],
+        spare_targets: Callable[[str], list[Target]],
+        board: LoadBoard,
+        unknown_requests: UnknownRequests,
+        may_place: MayPlace,
+    ) -> None:
+        self._owner = owner
+        self._data_centre = data_centre
+        self._targets = targets
+        self._spare_targets = spare_targets
+        self._board = board
+        self._unknown_requests = unknown_requests
+        self._may_place = may_place
+        self._preferences: dict[str, float] = {}
+
+    def select(self, waiter: Waiter, now_s: float) -> list[Target]:
+        """Return the targets of a request's service that may be tried now, at least one.
+
+        Raises:
+            FailureError: If there is none.
+        """
+        job = waiter.job
+        pool = self._targets(job.service) or self._spare_targets(job.service)
+        if not pool:
+            raise fail(
+                ErrorKind.NO_TARGET,
+                f"service {job.service} has no ready target",
+                retry_after_s=NO_TARGET_RETRY_S,
+            )
+        eject_failing(pool, now_s)
+        eject_slow(pool, now_s)
+        usable = usable_targets(pool, now_s)
+        untried = [target for target in usable if target.instance_id not in waiter.excluded]
+        if not untried:
+            others = [*pool, *self._spare_targets(job.service)]
+            untried = [target for target in others if target.instance_id not in waiter.excluded]
+        if not untried:
+            raise fail(
+                ErrorKind.NO_TARGET,
+                f"all ready targets of service {job.service} were already tried",
+            )
+        return untried
+
+    def describe(
+        self, waiter: Waiter, pool: list[Target], model: EngineModel, now_s: float
+    ) -> list[Candidate]:
+        """Describe targets with engines."""
+        return [self._describe(waiter, target, model, now_s) for target in pool]
+
+    def describe_for_call(self, pool: list[Target]) -> list[CallCandidate]:
+        """Describe targets of a plain service."""
+        return [
+            CallCandidate(
+                target_id=target.instance_id,
+                load=self._board.load(target.instance_id),
+                slots=target.record.slots,
+                is_near=target.record.data_centre == self._data_centre,
+            )
+            for target in pool
+        ]
+
+    def _describe(
+        self, waiter: Waiter, target: Target, model: EngineModel, now_s: float
+    ) -> Candidate:
+        target_id = target.instance_id
+        load = self._board.load(target_id)
+        is_allowed = waiter.only is None or target_id in waiter.only
+        return Candidate(
+            target_id=target_id,
+            load=load,
+            is_near=target.record.data_centre == self._data_centre,
+            may_host=is_allowed and self._may_place(target_id, load, model.slots, now_s),
+            may_help=target.may_help(now_s),
+            unknown_requests=self._unknown_requests(target_id, load, now_s),
+            preference=self._preference(target_id),
+        )
+
+    def _preference(self, target_id: str) -> float:
+        preference = self._preferences.get(target_id)
+        if preference is None:
+            preference = rendezvous_weight(self._owner, target_id) / MAX_RENDEZVOUS_WEIGHT
+            self._preferences[target_id] = preference
+        return preference
--- /dev/null
+++ b/src/cicadatiller/gateway/_retry_after.py
@@ -0,0 +1,39 @@
+"""When callers of refused requests should come back."""
+
+import random
+import statistics
+from collections.abc import Sequence
+
+from ..placement import Backlog, TargetLoad
+from ._candidates import NO_TARGET_RETRY_S
+from ._job import Job
+
+MAX_RETRY_AFTER_S = 5.0
+RETRY_JITTER = 0.5
+# Most backlogs end within this multiple of the time that they have already lasted.
+BACKLOG_AGE_FACTOR = 2.5
+RETRY_SHARE_OF_REMAINING_TIME = 0.6
+
+
+def retry_after_s(job: Job, loads: Sequence[TargetLoad], backlog: Backlog, now_s: float) -> float:
+    """Return the delay after which the caller of a refused request should retry, in seconds.
+
+    A backlog's remaining time is unknown, but grows with its age; a caller that retries before its
+    end is refused again.
+
+    Args:
+        job: The request.
+        loads: The load of each target of its service.
+        backlog: The backlog of its service.
+        now_s: The time on the event loop's clock.
+    """
+    waits_s = [load.prefill_wait_s(now_s) for load in loads]
+    expected_s = max(
+        statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S,
+        BACKLOG_AGE_FACTOR * backlog.lasted_s(now_s),
+        job.route.target_latency_s / 2,
+    )
+    # Without jitter, refused callers would retry at the same time and cause a new burst.
+    jittered_s = expected_s * random.uniform(1.0, 1.0 + RETRY_JITTER)
+    max_delay_s = RETRY_SHARE_OF_REMAINING_TIME * (job.caller_deadline_s - now_s)
+    return round(max(0.0, min(MAX_RETRY_AFTER_S, jittered_s, max_delay_s)), 3)
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -2,24 +2,19 @@
 
 import asyncio
 import itertools
-import random
-import statistics
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from ..fleet import Target, eject_failing, eject_slow, usable_targets
-from ..kernel import MAX_RENDEZVOUS_WEIGHT, ErrorKind, FailureError, fail, rendezvous_weight
+from ..fleet import Target
+from ..kernel import ErrorKind, FailureError, fail
 from ..placement import (
     Backlog,
-    CallCandidate,
-    Candidate,
     Demand,
     LoadBoard,
     Placement,
     Prompt,
-    TargetLoad,
     Verdict,
     Work,
     evaluate_placement,
@@ -28,8 +23,10 @@
     place_prompt,
 )
 from ..routes import EngineModel, Service
+from ._candidates import CandidateTargets, MayPlace, UnknownRequests
 from ._job import Job
 from ._prompts import describe_prompt, explain_refusal, split_work, with_remaining_time
+from ._retry_after import retry_after_s
 from ._waiter import (
     Grant,
     Waiter,
@@ -40,21 +37,11 @@
 from ._weights import WorthWeights
 
 RECHECK_INTERVAL_S = 0.01
-NO_TARGET_RETRY_S = 1.0
-MAX_RETRY_AFTER_S = 5.0
-RETRY_JITTER = 0.5
-# Most backlogs end within this multiple of the time that they have already lasted.
-BACKLOG_AGE_FACTOR = 2.5
-RETRY_SHARE_OF_REMAINING_TIME = 0.6
 # For this share of its maximum wait, a prompt is only placed if the loss to others is small.
 LOW_LOSS_WAIT_SHARE = 0.7
 DEMAND_MAX_AGE_S = 0.1
 
 
-MayPlace = Callable[[str, TargetLoad, int, float], bool]
-UnknownRequests = Callable[[str, TargetLoad, float], float]
-
-
 class WorkListener(Protocol):
     """Receives the start, first event and end of each request that this entry places."""
 
@@ -110,17 +97,21 @@
         may_place: MayPlace = lambda target_id, load, slots, now_s: True,
     ) -> None:
         self._owner = owner
-        self._data_centre = data_centre
         self._targets = targets
-        self._spare_targets = spare_targets
         self._board = board
         self._services = services
         self._listener = listener
         self._reservation_risk = reservation_risk
         self._weights = weights or WorthWeights()
-        self._unknown_requests = unknown_requests
-        self._may_place = may_place
-        self._preferences: dict[str, float] = {}
+        self._candidates = CandidateTargets(
+            owner=owner,
+            data_centre=data_centre,
+            targets=targets,
+            spare_targets=spare_targets,
+            board=board,
+            unknown_requests=unknown_requests,
+            may_place=may_place,
+        )
         self._waiters: list[Waiter] = []
         self._backlogs: dict[str, Backlog] = {}
         self._demands: dict[str, _CachedDemand] = {}
@@ -266,7 +257,7 @@
             FailureError: If no target is available or the request is refused.
         """
         now_s = self._loop.time()
-        pool = self._candidate_targets(waiter, now_s)
+        pool = self._candidates.select(waiter, now_s)
         service = self._services(waiter.job.service)
         if service is None or service.engine is None or waiter.prompt is None:
             if waiter.only is not None:
@@ -276,7 +267,14 @@
             grant = None
         else:
             prompt = with_remaining_time(waiter, now_s)
-            placement = self._choose_placement(waiter, prompt, service.engine, pool, now_s)
+            placement = place_prompt(
+                prompt,
+                self._candidates.describe(waiter, pool, service.engine, now_s),
+                service.engine,
+                now_s,
+                reservation_risk=self._reservation_risk(),
+                demand=self._expected_demand(waiter.job.service, service.engine, now_s),
+            )
             if placement is not None:
                 return self._apply_verdict(waiter, prompt, placement, service.engine, pool, now_s)
             grant = None
@@ -284,29 +282,6 @@
             self._queue_or_refuse(waiter, ahead, now_s)
         return grant
 
-    def _candidate_targets(self, waiter: Waiter, now_s: float) -> list[Target]:
-        job = waiter.job
-        pool = self._targets(job.service) or self._spare_targets(job.service)
-        if not pool:
-            raise fail(
-                ErrorKind.NO_TARGET,
-                f"service {job.service} has no ready target",
-                retry_after_s=NO_TARGET_RETRY_S,
-            )
-        eject_failing(pool, now_s)
-        eject_slow(pool, now_s)
-        usable = usable_targets(pool, now_s)
-        untried = [target for target in usable if target.instance_id not in waiter.excluded]
-        if not untried:
-            others = [*pool, *self._spare_targets(job.service)]
-            untried = [target for target in others if target.instance_id not in waiter.excluded]
-        if not untried:
-            raise fail(
-                ErrorKind.NO_TARGET,
-                f"all ready targets of service {job.service} were already tried",
-            )
-        return untried
-
     def _has_free_slot(self, pool: list[Target], model: EngineModel) -> bool:
         return any(self._board.load(t.instance_id).in_flight < model.slots for t in pool)
 
@@ -326,23 +301,16 @@
             raise self._refusal(waiter, f"{reason}, and this one is due in {due_in_s:.2f} s")
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
+        job = waiter.job
+        loads = [self._board.load(target.instance_id) for target in self._targets(job.service)]
         return fail(
             ErrorKind.OVERLOADED,
-            f"the targets of service {waiter.job.service} are overloaded: {reason}",
-            retry_after_s=self._retry_after_s(waiter, self._loop.time()),
+            f"the targets of service {job.service} are overloaded: {reason}",
+            retry_after_s=retry_after_s(job, loads, self._backlog(waiter), self._loop.time()),
         )
 
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
-        candidates = [
-            CallCandidate(
-                target_id=target.instance_id,
-                load=self._board.load(target.instance_id),
-                slots=target.record.slots,
-                is_near=target.record.data_centre == self._data_centre,
-            )
-            for target in pool
-        ]
-        host_id = place_call(candidates, now_s)
+        host_id = place_call(self._candidates.describe_for_call(pool), now_s)
         if host_id is None:
             return None
         host = next(target for target in pool if target.instance_id == host_id)
@@ -354,45 +322,6 @@
         )
         return self._commit_grant(Grant(work_id=work.work_id, host=host), (work,))
 
-    def _choose_placement(
-        self,
-        waiter: Waiter,
-        prompt: Prompt,
-        model: EngineModel,
-        pool: list[Target],
-        now_s: float,
-    ) -> Placement | None:
-        return place_prompt(
-            prompt,
-            [self._describe(waiter, target, model, now_s) for target in pool],
-            model,
-            now_s,
-            reservation_risk=self._reservation_risk(),
-            demand=self._expected_demand(waiter.job.service, model, now_s),
-        )
-
-    def _describe(
-        self, waiter: Waiter, target: Target, model: EngineModel, now_s: float
-    ) -> Candidate:
-        target_id = target.instance_id
-        load = self._board.load(target_id)
-        return Candidate(
-            target_id=target_id,
-            load=load,
-            is_near=target.record.data_centre == self._data_centre,
-            may_host=self._may_host(waiter, target, model, now_s),
-            may_help=target.may_help(now_s),
-            unknown_requests=self._unknown_requests(target_id, load, now_s),
-            preference=self._preference(target_id),
-        )
-
-    def _preference(self, target_id: str) -> float:
-        preference = self._preferences.get(target_id)
-        if preference is None:
-            preference = rendezvous_weight(self._owner, target_id) / MAX_RENDEZVOUS_WEIGHT
-            self._preferences[target_id] = preference
-        return preference
-
     def _apply_verdict(
         self,
         waiter: Waiter,
@@ -424,12 +353,6 @@
         )
         return self._commit_grant(grant, works)
 
-    def _may_host(self, waiter: Waiter, target: Target, model: EngineModel, now_s: float) -> bool:
-        if waiter.only is not None and target.instance_id not in waiter.only:
-            return False
-        load = self._board.load(target.instance_id)
-        return self._may_place(target.instance_id, load, model.slots, now_s)
-
     def _evaluate(
         self,
         waiter: Waiter,
@@ -468,24 +391,5 @@
             grant, host_in_flight=load.in_flight, host_pace=load.pace, host_wait_s=wait_s
         )
 
-    def _retry_after_s(self, waiter: Waiter, now_s: float) -> float:
-        """Return the delay after which the caller should retry, in seconds.
-
-        A backlog's remaining time is unknown, but grows with its age; a caller that retries before
-        its end is refused again.
-        """
-        job = waiter.job
-        pool = self._targets(job.service)
-        waits_s = [self._board.load(t.instance_id).prefill_wait_s(now_s) for t in pool]
-        expected_s = max(
-            statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S,
-            BACKLOG_AGE_FACTOR * self._backlog(waiter).lasted_s(now_s),
-            job.route.target_latency_s / 2,
-        )
-        # Without jitter, refused callers would retry at the same time and cause a new burst.
-        jittered_s = expected_s * random.uniform(1.0, 1.0 + RETRY_JITTER)
-        max_delay_s = RETRY_SHARE_OF_REMAINING_TIME * (job.caller_deadline_s - now_s)
-        return round(max(0.0, min(MAX_RETRY_AFTER_S, jittered_s, max_delay_s)), 3)
-
     def _new_work_id(self) -> str:
         return f"{self._owner}-{next(self._counter)}"
