--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -18,7 +18,7 @@
 
 # The most engines that a request may list: its helpers, and its host if that reserves memory.
 MAX_LISTED_ENGINES = 16
-GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16, 17)
+GANG_SIZES = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 MIN_PART_TOKENS = 2048
 
 # The probability of being late rises from 0 to 1 between these ratios of needed to allowed time.
