--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -127,6 +127,7 @@
 
     def peer_given_up(self, name: str) -> None:
         """Handle a peer that could not be reached for long."""
+        self._unheard_since_s.pop(name, None)
         self._on_peer_given_up(name)
 
     def unheard_s(self) -> dict[str, float]:
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -65,6 +65,18 @@
 
         self.assertEqual(self.run_scenario(scenario), [ENTRIES - 1] * ENTRIES)
 
+    def test_peers_that_were_given_up_are_forgotten(self):
+        async def scenario(fleet):
+            fleet.peers.severed = lambda source, destination: "10.0.0.1:82" in (source, destination)
+            await asyncio.sleep(10.0)
+            unheard = [set(gateway.peer_sync.unheard_s()) for gateway in fleet.gateways]
+            await asyncio.sleep(70.0)
+            return unheard, [gateway.peer_sync.unheard_s() for gateway in fleet.gateways]
+
+        unheard, later = self.run_scenario(scenario)
+        self.assertEqual(unheard, [{"front-1", "front-2"}, {"front-0"}, {"front-0"}])
+        self.assertEqual(later, [{}] * ENTRIES)
+
     def test_entry_that_is_gone_for_long_is_removed_and_comes_back(self):
         async def scenario(fleet):
             await fleet.kill(0)
