--- a/src/cicadatiller/fleet/_subset.py
+++ b/src/cicadatiller/fleet/_subset.py
@@ -13,7 +13,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from ..kernel import rendezvous_weight
 from ._directory import Target, TargetDirectory
@@ -27,7 +26,11 @@
 
 def ring_order(names: Iterable[str]) -> tuple[str, ...]:
     """Return names in their order on the ring, which does not depend on data centres or roles."""
-    return tuple(sorted(names, key=lambda name: (rendezvous_weight(RING_KEY, name), name)))
+    return tuple(sorted(names, key=_ring_key))
+
+
+def _ring_key(name: str) -> tuple[int, str]:
+    return rendezvous_weight(RING_KEY, name), name
 
 
 def subset_width(entries: int, targets: int) -> float:
@@ -49,14 +52,6 @@
     return width >= 1.0 or (position - rank / entries) % 1.0 < width
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Place:
-    """A target's position on the ring, and the share of its pool that each entry uses."""
-
-    position: float
-    width: float
-
-
 class TargetSubset:
     """The targets that one entry uses, and the peers that it shares them with.
 
@@ -75,7 +70,10 @@
         self._ranks = {name: 0}
         self._revision = -1
         self._pools: dict[str, list[Target]] = {}
-        self._places: dict[str, _Place] = {}
+        self._widths: dict[str, float] = {}
+        self._positions: dict[str, float] = {}
+        # Kept between changes, as a fleet of thousands of targets often has some that change.
+        self._ring_keys: dict[str, tuple[int, str]] = {}
 
     def set_entries(self, names: Iterable[str]) -> None:
         """Set the names of all entries; this entry is added if it is missing."""
@@ -106,36 +104,44 @@
     def users(self, target_id: str, entries: Iterable[str]) -> list[str]:
         """Return those of `entries` that use a target; unknown entries are taken to use it."""
         self._refresh()
-        place = self._places.get(target_id)
-        return [name for name in entries if place is not None and self._is_used(name, place)]
-
-    def _is_used(self, entry: str, place: _Place) -> bool:
+        target = self._directory.find(target_id)
+        position = self._positions.get(target_id)
+        if target is None or position is None:
+            return []
+        width = self._widths[target.record.service]
+        return [name for name in entries if self._is_used(name, position, width)]
+
+    def _is_used(self, entry: str, position: float, width: float) -> bool:
         rank = self._ranks.get(entry)
         if rank is None:
             return True
-        return in_subset(
-            rank=rank, entries=len(self.entries), position=place.position, width=place.width
-        )
+        return in_subset(rank=rank, entries=len(self.entries), position=position, width=width)
 
     def _refresh(self) -> None:
         if self._revision == self._directory.revision:
             return
         self._revision = self._directory.revision
         self._pools.clear()
-        self._places.clear()
+        self._widths.clear()
+        self._positions.clear()
         pools: dict[str, dict[str, Target]] = defaultdict(dict)
         for target in self._directory.targets():
             if target.accepts_work:
                 pools[target.record.service][target.instance_id] = target
+        ring_keys = self._ring_keys
+        self._ring_keys = {}
         for service, pool in pools.items():
-            self._pools[service] = self._choose(pool)
+            for target_id in pool:
+                self._ring_keys[target_id] = ring_keys.get(target_id) or _ring_key(target_id)
+            self._pools[service] = self._choose(service, pool)
 
-    def _choose(self, pool: dict[str, Target]) -> list[Target]:
-        width = subset_width(len(self.entries), len(pool))
+    def _choose(self, service: str, pool: dict[str, Target]) -> list[Target]:
+        entries = len(self.entries)
+        rank = self._ranks[self._name]
+        width = self._widths[service] = subset_width(entries, len(pool))
         chosen = []
-        for index, target_id in enumerate(ring_order(pool)):
-            place = _Place(position=(index + 0.5) / len(pool), width=width)
-            self._places[target_id] = place
-            if self._is_used(self._name, place):
+        for index, target_id in enumerate(sorted(pool, key=self._ring_keys.__getitem__)):
+            position = self._positions[target_id] = (index + 0.5) / len(pool)
+            if in_subset(rank=rank, entries=entries, position=position, width=width):
                 chosen.append(pool[target_id])
         return chosen
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -4,6 +4,7 @@
 import tracemalloc
 import unittest
 from collections import Counter
+from unittest import mock
 
 from cicadatiller.fleet import (
     SHARING_ENTRIES,
@@ -12,6 +13,7 @@
     TargetState,
     TargetSubset,
 )
+from cicadatiller.kernel import rendezvous_weight
 
 from .support.gateways import GatewayFleet
 from .support.streams import NetworkCase
@@ -118,6 +120,19 @@
         after = {name for subset in subsets.values() for name in target_names(subset)}
         self.assertEqual(before - after, {"t7", "t8"})
 
+    def test_a_change_of_one_target_does_not_place_all_others_anew(self):
+        directory = make_directory(500)
+        subset = TargetSubset(name="e0", directory=directory)
+        subset.set_entries([f"e{number}" for number in range(40)])
+        subset.targets_of("engines")
+        with mock.patch(
+            "cicadatiller.fleet._subset.rendezvous_weight", wraps=rendezvous_weight
+        ) as weight:
+            put_target(directory, "t7", state=TargetState.LEAVING)
+            put_target(directory, "new")
+            subset.targets_of("engines")
+        self.assertLessEqual(weight.call_count, 2)
+
     def test_users_of_a_target_are_the_entries_that_use_it(self):
         subsets = make_subsets(68, make_directory(135))
         names = tuple(subsets)
