--- a/src/cicadatiller/gateway/_candidates.py
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -1,5 +1,6 @@
 """The targets that may receive a request, as the placement policy sees them."""
 
+import functools
 from collections.abc import Callable
 
 from ..fleet import Target, eject_failing, eject_slow, usable_targets
@@ -9,6 +10,8 @@
 from ._waiter import Waiter
 
 NO_TARGET_RETRY_S = 1.0
+# More than the targets that one entry uses at a time.
+MAX_PREFERENCES = 4096
 
 MayPlace = Callable[[str, TargetLoad, int, float], bool]
 UnknownRequests = Callable[[str, TargetLoad, float], float]
@@ -48,7 +51,7 @@
         self._board = board
         self._unknown_requests = unknown_requests
         self._may_place = may_place
-        self._preferences: dict[str, float] = {}
+        self._preference = functools.lru_cache(MAX_PREFERENCES)(self._make_preference)
 
     def select(self, waiter: Waiter, now_s: float) -> list[Target]:
         """Return the targets of a request's service that may be tried now, at least one.
@@ -112,9 +115,5 @@
             preference=self._preference(target_id),
         )
 
-    def _preference(self, target_id: str) -> float:
-        preference = self._preferences.get(target_id)
-        if preference is None:
-            preference = rendezvous_weight(self._owner, target_id) / MAX_RENDEZVOUS_WEIGHT
-            self._preferences[target_id] = preference
-        return preference
+    def _make_preference(self, target_id: str) -> float:
+        return rendezvous_weight(self._owner, target_id) / MAX_RENDEZVOUS_WEIGHT
