Dial a peer that has come back at once, and ask early for what an entry needs to start

(1) One that hears that a peer has read more waits 0.3 to 0.4 s for its own read before it asks, also if it has read nothing and was linked only after its own read had 0.3 s. (2) Found beside it: a link to a peer that was away is dialled again after a backoff of up to 2.6 s, also when that peer has just dialled this entry; until then it hears nothing of this entry's load.

Change: the first request is sent 0.03 s after the link, if the own read has had its 0.3 s; a greeting ends the backoff.

--- a/src/cicadatiller/gateway/_catch_up.py
+++ b/src/cicadatiller/gateway/_catch_up.py
@@ -16,6 +16,8 @@
 
 # An entry's own read usually returns within this time of a peer's.
 OWN_READ_DELAY_S = 0.3
+# An entry that has read nothing yet can't serve, so it asks as soon as its link is open.
+START_DELAY_S = 0.03
 MAX_PAUSE_S = 3.0
 PAUSE_JITTER = 0.3
 REPLY_TIMEOUT_S = 1.0
@@ -66,7 +68,7 @@
 
     async def _catch_up(self, topic: Topic) -> None:
         follower = self._followers[topic]
-        pause_s = OWN_READ_DELAY_S
+        pause_s = self._first_pause_s(follower)
         asked = ""
         while True:
             await asyncio.sleep(pause_s * random.uniform(1.0, 1.0 + PAUSE_JITTER))
@@ -82,6 +84,12 @@
             while await self._ask(asked, topic, follower, complete_until):
                 pause_s = OWN_READ_DELAY_S
 
+    def _first_pause_s(self, follower: TopicFollower) -> float:
+        if follower.next_offset is not None:
+            return OWN_READ_DELAY_S
+        reading_for_s = asyncio.get_running_loop().time() - follower.created_s
+        return max(START_DELAY_S, OWN_READ_DELAY_S - reading_for_s)
+
     def _peers_ahead(self, topic: Topic, follower: TopicFollower) -> list[str]:
         known = follower.next_offset or 0
         return [peer for peer, offset in self._peer_offsets[topic].items() if offset > known]
--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -66,6 +66,9 @@
         on_read: Called with the topic, the first offset and the page that this entry read.
         on_change: Called after records were applied, from the store or from a peer.
         on_store_recovered: Called when records can be read again after an outage of the store.
+
+    Attributes:
+        created_s: The loop time at which it was created.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         self._on_change = on_change
         self._on_store_recovered = on_store_recovered
         self._loop = asyncio.get_running_loop()
+        self.created_s = self._loop.time()
         self._known = KnownRecords()
         self._read_due_s = float("inf")
         self._awaited_offset = 0
--- a/src/cicadatiller/mesh/_link.py
+++ b/src/cicadatiller/mesh/_link.py
@@ -1,6 +1,7 @@
 """The outbound link to another entry."""
 
 import asyncio
+import contextlib
 import random
 from collections import deque
 from collections.abc import Callable
@@ -119,6 +120,7 @@
         self._timing = timing
         self._frames: list[bytes] = []
         self._has_frames = asyncio.Event()
+        self._must_dial = asyncio.Event()
         self._channel: Channel | None = None
         self._replies: dict[str, asyncio.Future[TopicPage]] = {}
 
@@ -169,7 +171,7 @@
                 async with asyncio.timeout(self._timing.dial_timeout_s):
                     channel = await self._transport.dial(self.address)
             except (ChannelClosedError, TimeoutError):
-                await asyncio.sleep(delay_s * random.uniform(0.7, 1.3))
+                await self._back_off(delay_s * random.uniform(0.7, 1.3))
                 delay_s = min(2 * delay_s, self._timing.max_backoff_s)
                 continue
             delay_s = self._timing.initial_backoff_s
@@ -177,6 +179,16 @@
             last_connected_s = loop.time()
             await asyncio.sleep(delay_s)
 
+    def dial_now(self) -> None:
+        """End the backoff, as the peer can be reached again."""
+        self._must_dial.set()
+
+    async def _back_off(self, delay_s: float) -> None:
+        self._must_dial.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                await self._must_dial.wait()
+
     async def _use_channel(self, channel: Channel) -> None:
         self._channel = channel
         self.protocol = FIRST_PROTOCOL
--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -204,8 +204,10 @@
             task.cancel()
 
     def _answer_link(self, greeting: Greeting) -> None:
-        """Open a link to a peer that dialled this entry."""
+        """Open a link to a peer that dialled this entry, without a backoff from before."""
         self._open_link(greeting.address)
+        if greeting.address in self._links:
+            self._links[greeting.address].dial_now()
         if greeting.address not in self._selected:
             self._close_later(greeting.address)
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -277,6 +277,24 @@
 
         self.assertEqual(self.run_paused(scenario()), (("e1",), ()))
 
+    def test_peer_that_comes_back_and_dials_is_dialled_at_once(self):
+        async def scenario():
+            first, _ = await self.start(1)
+            first.select_peers({"e2": "10.0.0.2:82"})
+            connected = []
+            for down_s in (20.0, 20.3, 20.7):
+                await asyncio.sleep(down_s)
+                second, _ = await self.start(2)
+                second.select_peers({"e1": "10.0.0.1:82"})
+                await asyncio.sleep(0.1)
+                connected.append(second.connected_peers)
+                second.select_peers({})
+                await second.close()
+                self.network.reset("10.0.0.2:82")
+            return connected
+
+        self.assertEqual(self.run_paused(scenario()), [("e1",)] * 3)
+
     def test_request_opens_the_link_to_a_peer_that_only_sends(self):
         async def scenario():
             first, _ = await self.start(1)
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -107,6 +107,20 @@
         for _ in range(5):
             self.assertEqual(self.run_scenario(scenario), [ENTRIES - 1] * ENTRIES)
 
+    def test_entry_that_starts_without_the_store_serves_soon(self):
+        async def scenario(fleet):
+            delays_s = []
+            for _ in range(5):
+                await fleet.restart(0, is_refused=True)
+                began_s = fleet.loop.time()
+                while (await fleet.ask(entry=0)).status != 200:
+                    await asyncio.sleep(0.01)
+                delays_s.append(fleet.loop.time() - began_s)
+                await asyncio.sleep(3.0)
+            return max(delays_s)
+
+        self.assertLess(self.run_scenario(scenario), 0.7)
+
     def test_entries_share_reads_of_target_registrations(self):
         async def scenario(fleet):
             before = fleet.store.calls.count("/log-read")
