--- a/src/cicadatiller/gateway/_candidates.py
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -41,8 +41,8 @@
         targets: Callable[[str], list[Target]],
         spare_targets: Callable[[str], list[Target]],
         board: LoadBoard,
-        unknown_requests: UnknownRequests,
-        may_place: MayPlace,
+        unknown_requests: UnknownRequests = lambda target_id, load, now_s: 0.0,
+        may_place: MayPlace = lambda target_id, load, slots, now_s: True,
     ) -> None:
         self._owner = owner
         self._data_centre = data_centre
@@ -53,6 +53,10 @@
         self._may_place = may_place
         self._preference = functools.lru_cache(MAX_PREFERENCES)(self._make_preference)
 
+    def loads(self, service: str) -> list[TargetLoad]:
+        """Return the load of each target of a service that this entry uses."""
+        return [self._board.load(target.instance_id) for target in self._targets(service)]
+
     def select(self, waiter: Waiter, now_s: float) -> list[Target]:
         """Return the targets of a request's service that may be tried now, at least one.
 
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -13,6 +13,7 @@
 from ..mesh import COMPACT_PROTOCOL, Greeting
 from ..placement import LoadBoard
 from ..routes import RouteTable, Service
+from ._candidates import CandidateTargets
 from ._clock import ClockWatch, boot_clock_s
 from ._contention import Contention
 from ._exposition import Exposition
@@ -328,18 +329,23 @@
         )
 
     def _make_scheduler(self) -> Scheduler:
-        return Scheduler(
+        candidates = CandidateTargets(
             owner=self._run_id,
             data_centre=self._node.data_centre,
             targets=self._subset.targets_of,
             spare_targets=self._directory.targets_of,
             board=self.board,
+            unknown_requests=self._make_contention().unknown_requests,
+            may_place=SlotArbiter(name=self._node.name, users=self._connected_users).may_place,
+        )
+        return Scheduler(
+            owner=self._run_id,
+            candidates=candidates,
+            board=self.board,
             services=self._find_service,
             listener=self.peer_sync,
             reservation_risk=lambda: self._reservations.loss_rate,
             weights=self._settings.weights,
-            unknown_requests=self._make_contention().unknown_requests,
-            may_place=SlotArbiter(name=self._node.name, users=self._connected_users).may_place,
         )
 
     def _make_contention(self) -> Contention:
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -23,7 +23,7 @@
     place_prompt,
 )
 from ..routes import EngineModel, Service
-from ._candidates import CandidateTargets, MayPlace, UnknownRequests
+from ._candidates import CandidateTargets
 from ._job import Job
 from ._prompts import describe_prompt, explain_refusal, split_work, with_remaining_time
 from ._retry_after import retry_after_s
@@ -66,52 +66,32 @@
 
     Args:
         owner: Id of this run of the entry, unique in the fleet; prefixes its work ids.
-        data_centre: Data centre of this entry.
-        targets: Returns the targets of a service that this entry uses and that accept work.
-        spare_targets: Returns all targets of a service that accept work; used if none of the others
-            is left for a request.
+        candidates: Selects and describes the targets that may receive a request.
         board: The load of each target.
         services: Looks up a service by name in the current configuration.
         listener: Receives the start, first event and end of each placed request.
         reservation_risk: Returns the probability that a memory reservation fails.
         weights: Value of a request and its loss when late.
-        unknown_requests: Returns the expected number of requests on a target that other entries
-            have placed and this entry does not know of, from the target's id, load and the time.
-        may_place: Returns whether this entry may place one more request on a target now, from the
-            target's id, load and slots and the time.
     """
 
     def __init__(
         self,
         *,
         owner: str,
-        data_centre: str,
-        targets: Callable[[str], list[Target]],
-        spare_targets: Callable[[str], list[Target]],
+        candidates: CandidateTargets,
         board: LoadBoard,
         services: Callable[[str], Service | None],
         listener: WorkListener,
         reservation_risk: Callable[[], float] = lambda: 0.0,
         weights: WorthWeights | None = None,
-        unknown_requests: UnknownRequests = lambda target_id, load, now_s: 0.0,
-        may_place: MayPlace = lambda target_id, load, slots, now_s: True,
     ) -> None:
         self._owner = owner
-        self._targets = targets
+        self._candidates = candidates
         self._board = board
         self._services = services
         self._listener = listener
         self._reservation_risk = reservation_risk
         self._weights = weights or WorthWeights()
-        self._candidates = CandidateTargets(
-            owner=owner,
-            data_centre=data_centre,
-            targets=targets,
-            spare_targets=spare_targets,
-            board=board,
-            unknown_requests=unknown_requests,
-            may_place=may_place,
-        )
         self._waiters: list[Waiter] = []
         self._backlogs: dict[str, Backlog] = {}
         self._demands: dict[str, _CachedDemand] = {}
@@ -302,7 +282,7 @@
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
         job = waiter.job
-        loads = [self._board.load(target.instance_id) for target in self._targets(job.service)]
+        loads = self._candidates.loads(job.service)
         return fail(
             ErrorKind.OVERLOADED,
             f"the targets of service {job.service} are overloaded: {reason}",
@@ -372,8 +352,7 @@
         """Return the expected demand for a service, cached for `DEMAND_MAX_AGE_S`."""
         cached = self._demands.get(service)
         if cached is None or now_s - cached.computed_at_s >= DEMAND_MAX_AGE_S:
-            pool = self._targets(service)
-            loads = [self._board.load(target.instance_id) for target in pool]
+            loads = self._candidates.loads(service)
             waiting = [w.prompt for w in self._waiters if w.job.service == service and w.prompt]
             demand = expected_demand(loads, waiting, model, now_s)
             cached = _CachedDemand(demand=demand, computed_at_s=now_s)
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cicadatiller.fleet import TargetDirectory, TargetRecord, TargetState
+from cicadatiller.gateway._candidates import CandidateTargets
 from cicadatiller.gateway._job import Job
 from cicadatiller.gateway._scheduler import Scheduler
 from cicadatiller.gateway._slot_arbiter import TURN_DELAY_S, SlotArbiter
@@ -49,12 +50,18 @@
             )
         )
     services = {PROMPTS: Service(name=PROMPTS, engine=ENGINE)}
-    return Scheduler(
+    board = LoadBoard()
+    candidates = CandidateTargets(
         owner="g0",
         data_centre="c0",
         targets=directory.targets_of,
         spare_targets=directory.targets_of,
-        board=LoadBoard(),
+        board=board,
+    )
+    return Scheduler(
+        owner="g0",
+        candidates=candidates,
+        board=board,
         services=services.get,
         listener=listener or Listener(),
     )
