--- a/src/cicadatiller/channels/_codec.py
+++ b/src/cicadatiller/channels/_codec.py
@@ -118,8 +118,8 @@
 
 @functools.cache
 def _converter() -> "cattrs.Converter":
-    # Imported on first use: loading it takes a sixth of the start of an entry on the platform, which
-    # needs it only for peers that understand the first version of its protocol.
+    # Imported on first use, so that entries on the platform start sooner: they need it only for
+    # peers that understand the first version of their protocol.
     import cattrs
 
     converter = cattrs.Converter(omit_if_default=True)
--- a/src/cicadatiller/gateway/_catch_up.py
+++ b/src/cicadatiller/gateway/_catch_up.py
@@ -12,7 +12,7 @@
 from ..fleet import KeyedPage, KeyedRecord, Topic
 from ..kernel import Event, TaskSet, log_event
 from ..mesh import StoreRecord, TopicPage, TopicRequest, pack_records, unpack_records
-from ._followers import TopicFollower
+from ._followers import TopicFollower, find_follower
 
 # An entry's own read usually returns within this time of a peer's.
 OWN_READ_DELAY_S = 0.3
@@ -122,8 +122,7 @@
     followers: Mapping[Topic, TopicFollower], request: TopicRequest
 ) -> TopicPage | None:
     """Return the reply to a peer's request; None if this entry has nothing newer."""
-    by_name = {topic.value: follower for topic, follower in followers.items()}
-    follower = by_name.get(request.topic)
+    follower = find_follower(followers, request.topic)
     if follower is None:
         return None
     since = follower.page_since(
--- a/src/cicadatiller/gateway/_contention.py
+++ b/src/cicadatiller/gateway/_contention.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Sequence
 
-from ..placement import LoadBoard, TargetLoad
+from ..placement import TargetLoad
 
 # An entry that was not heard for longer is taken to be gone.
 MAX_UNHEARD_S = 15.0
@@ -18,10 +18,10 @@
 
     Args:
         owner: The owner of this entry's own work.
-        board: The load of each target.
         view_age_s: Returns the age of this entry's view of its peers' work.
         unheard_s: Returns the time since the link of each peer timed out, by name.
         users: Returns those of some entries that use a target, from the target's id.
+        own_requests: Returns the number of requests that this entry has in flight.
         own_targets: Returns the number of targets that this entry uses.
     """
 
@@ -29,17 +29,17 @@
         self,
         *,
         owner: str,
-        board: LoadBoard,
         view_age_s: Callable[[], float],
         unheard_s: Callable[[], dict[str, float]],
         users: Callable[[str, Sequence[str]], Sequence[str]],
+        own_requests: Callable[[], int],
         own_targets: Callable[[], int],
     ) -> None:
         self._owner = owner
-        self._board = board
         self._view_age_s = view_age_s
         self._unheard_s = unheard_s
         self._users = users
+        self._own_requests = own_requests
         self._own_targets = own_targets
 
     def unknown_requests(self, target_id: str, load: TargetLoad, now_s: float) -> float:
@@ -61,5 +61,5 @@
         unheard = [name for name, time_s in self._unheard_s().items() if time_s < MAX_UNHEARD_S]
         if not unheard:
             return 0.0
-        own_requests = self._board.hosted_by(self._owner)
-        return len(self._users(target_id, unheard)) * own_requests / max(1, self._own_targets())
+        requests_per_target = self._own_requests() / max(1, self._own_targets())
+        return len(self._users(target_id, unheard)) * requests_per_target
--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from ..fleet import (
@@ -296,3 +296,10 @@
             )
             self._failures = 0
             self._on_store_recovered()
+
+
+def find_follower(
+    followers: Mapping[Topic, TopicFollower], topic_name: str
+) -> TopicFollower | None:
+    """Return the follower of a topic by its name; None if this version does not know the topic."""
+    return next((f for topic, f in followers.items() if topic.value == topic_name), None)
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -21,7 +21,7 @@
 )
 from ..placement import LoadBoard, Work
 from ._catch_up import REPLY_TIMEOUT_S, CatchUp, answer_request
-from ._followers import TopicFollower
+from ._followers import TopicFollower, find_follower
 from ._retry_budget import RetryBudget
 
 MAX_UNRESPONSIVE_PEER_WORK_S = 10.0
@@ -83,6 +83,11 @@
         self.mesh = Mesh(greeting=greeting, transport=transport, listener=self, tasks=tasks)
         self._catch_up = CatchUp(followers=followers, request=self._request_page, tasks=tasks)
 
+    @property
+    def own_requests(self) -> int:
+        """Return the number of requests that this entry has in flight."""
+        return len(self._own_works)
+
     def work_added(self, works: tuple[Work, ...]) -> None:
         """Announce to the peers that a request was placed."""
         self._own_works[works[0].work_id] = works
@@ -238,8 +243,7 @@
 
     def _apply_topic_update(self, news: TopicUpdate) -> None:
         """Apply `news`, the records of one topic that a peer read; unknown topics are ignored."""
-        by_name = {topic.value: follower for topic, follower in self._followers.items()}
-        follower = by_name.get(news.topic)
+        follower = find_follower(self._followers, news.topic)
         if follower is None:
             return
         page = KeyedPage(
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -351,10 +351,10 @@
     def _make_contention(self) -> Contention:
         return Contention(
             owner=self._run_id,
-            board=self.board,
             view_age_s=lambda: self.peer_sync.mesh.round_trip_s,
             unheard_s=self.peer_sync.unheard_s,
             users=self._subset.users,
+            own_requests=lambda: self.peer_sync.own_requests,
             own_targets=lambda: self._subset.size,
         )
 
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -157,14 +157,6 @@
         """Return the number of requests in flight on all targets."""
         return sum(load.in_flight for load in self._loads.values())
 
-    def hosted_by(self, owner: str) -> int:
-        """Return the number of requests in flight that one entry has placed."""
-        return sum(
-            work.writes and work.owner == owner
-            for load in self._loads.values()
-            for work in load.works.values()
-        )
-
     def add(self, works: Iterable[Work]) -> None:
         """Add the work of a request, one item per target."""
         for work in works:
--- a/src/cicadatiller/platform/__main__.py
+++ b/src/cicadatiller/platform/__main__.py
@@ -61,7 +61,7 @@
     arguments = parser.parse_args()
     settings: GatewaySettings | None = GatewaySettings()
     if arguments.settings is not None:
-        # Imported on first use: YAML and its conversion take a fifth of the start of the program.
+        # Imported on first use, as an entry without a file of its own starts sooner without it.
         from ..startup import load_or_report
 
         settings = load_or_report(arguments.settings, GatewaySettings)
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -7,7 +7,7 @@
 from cicadatiller.fleet import TargetSubset
 from cicadatiller.gateway import Contention
 from cicadatiller.kernel import MAX_RENDEZVOUS_WEIGHT, rendezvous_weight
-from cicadatiller.placement import LoadBoard, Work
+from cicadatiller.placement import TargetLoad
 
 from .support.placement_baselines import share_of_worth, share_on_time
 from .support.placement_simulation import ENGINE, PlacementSimulation
@@ -56,15 +56,20 @@
         self.contentions = [
             Contention(
                 owner=f"entry {entry}",
-                board=self.boards[entry],
                 view_age_s=lambda entry=entry: self._delays_s[entry],
                 unheard_s=lambda entry=entry: self.unheard_by(entry),
                 users=lambda target_id, names: names,
+                own_requests=lambda entry=entry: self.own_requests(entry),
                 own_targets=lambda entry=entry: len(self._subsets[entry]),
             )
             for entry in range(entries)
         ]
 
+    def own_requests(self, entry):
+        loads = (self.boards[entry].load(name) for name in self._subsets[entry])
+        works = [work for load in loads for work in load.works.values()]
+        return sum(work.writes and work.owner == f"entry {entry}" for work in works)
+
     def unheard_by(self, entry):
         everyone = range(len(self.boards))
         silent = everyone if entry in self.unheard else self.unheard
@@ -127,19 +132,17 @@
         self.assertGreater(share_on_time(after, "short"), share_on_time(before, "short"))
 
     def test_peers_that_are_gone_for_long_are_not_counted(self):
-        board = LoadBoard()
-        board.add([Work(work_id="w", owner="own", target_id="t")])
         unheard = Counter()
         contention = Contention(
             owner="own",
-            board=board,
             view_age_s=lambda: 0.0,
             unheard_s=lambda: unheard,
             users=lambda target_id, names: names,
+            own_requests=lambda: 1,
             own_targets=lambda: 2,
         )
         found = []
         for time_s in (2.0, 100.0):
             unheard["peer"] = time_s
-            found.append(contention.unknown_requests("t", board.load("t"), 1.0))
+            found.append(contention.unknown_requests("t", TargetLoad(), 1.0))
         self.assertEqual(found, [0.5, 0.0])
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -6,25 +6,16 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
-from unittest import mock
 
 from cicadatiller.fleet import (
     Breaker,
-    HistoryLostError,
-    KeyedPage,
-    KeyedRecord,
-    StoreUnavailableError,
-    Topic,
 )
 from cicadatiller.gateway import Bounds, GatewaySettings, NodeSettings, SettingsWatch
-from cicadatiller.gateway._clock import ClockWatch
 from cicadatiller.gateway._events import MAX_EVENT_BYTES, EventSplitter, EventTooLongError
-from cicadatiller.gateway._followers import OUTAGE_S, REMOVAL_GRACE_S, TopicFollower
 from cicadatiller.gateway._outcomes import AttemptOutcome, Delivery, NextStep, choose_next_step
 from cicadatiller.gateway._reload import changed_fields
 from cicadatiller.gateway._retry_budget import RetryBudget
 from cicadatiller.ingress import Response
-from cicadatiller.kernel import Event, StallWatch
 from cicadatiller.placement import CallCandidate, TargetLoad, Work, place_call
 
 from .support import PausedCase
@@ -32,25 +23,6 @@
 from .support.streams import NetworkCase
 
 
-class StallWatchTest(PausedCase):
-    def test_stall_is_counted_and_logged_with_its_length(self):
-        async def scenario():
-            watch = StallWatch()
-            watch.start()
-            await asyncio.sleep(1.0)
-            asyncio.get_running_loop().advance(2.0)
-            await asyncio.sleep(0.3)
-            watch.close()
-            return watch.stalls
-
-        with mock.patch("cicadatiller.kernel._stall.log_event") as log_event:
-            stalls = self.run_paused(scenario())
-        self.assertEqual(stalls, 1)
-        [call] = log_event.mock_calls
-        self.assertIs(call.args[0], Event.STALLED)
-        self.assertAlmostEqual(call.kwargs["late_s"], 2.0, delta=0.11)
-
-
 class EventSplitterTest(unittest.TestCase):
     def test_events_are_whole_for_any_chunk_size(self):
         data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight: 3\nid: 3\ndata: c\n\n"
@@ -152,165 +124,6 @@
         self.assertLessEqual(sum(self.spend_all(budget, 1.0) for budget in budgets), 100)
 
 
-class FollowerTest(PausedCase):
-    class Log:
-        """A topic of a store that may be unavailable."""
-
-        def __init__(self):
-            self.records = []
-            self.first = 0
-            self.is_unavailable = False
-            self.reads = 0
-
-        async def read_newest(self, topic):
-            self.record_read()
-            newest = {record.key: record for record in self.records}
-            return KeyedPage(records=tuple(newest.values()), next_offset=len(self.records))
-
-        async def read(self, topic, from_offset, *, wait_s=0.0):
-            self.record_read()
-            if from_offset < self.first:
-                raise HistoryLostError("records before the first offset were dropped")
-            return KeyedPage(
-                records=tuple(self.records[from_offset:]), next_offset=len(self.records)
-            )
-
-        def record_read(self):
-            self.reads += 1
-            if self.is_unavailable:
-                raise StoreUnavailableError("the store is unavailable")
-
-        def add(self, key, value=b"v"):
-            self.records.append(KeyedRecord(offset=len(self.records), key=key, value=value))
-
-    class Sink:
-        def __init__(self):
-            self.applied = []
-            self.replaced = []
-
-        def apply(self, record, *, grace_s):
-            self.applied.append((record.key, record.value, grace_s))
-
-        def replace(self, page, *, grace_s):
-            self.replaced.append(([record.key for record in page.records], grace_s))
-
-    def run_scenario(self, scenario):
-        async def run():
-            log, sink, sent_to_peers = self.Log(), self.Sink(), []
-            log.add("a")
-            follower = TopicFollower(
-                log=log,
-                topic=Topic.TARGETS,
-                sink=sink,
-                interval_s=0.5,
-                on_read=lambda topic, offset, page: sent_to_peers.append(
-                    (offset, page.next_offset)
-                ),
-                on_change=lambda: None,
-            )
-            task = asyncio.get_running_loop().create_task(follower.run())
-            await asyncio.sleep(1.0)
-            result = await scenario(follower, log, sink, sent_to_peers)
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            return result
-
-        return self.run_paused(run())
-
-    def test_records_are_applied_once_and_sent_to_peers(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            log.add("b")
-            await asyncio.sleep(1.0)
-            return sink.replaced, sink.applied, sent_to_peers[-1][1]
-
-        replaced, applied, offset = self.run_scenario(scenario)
-        self.assertEqual(replaced, [(["a"], 0.0)])
-        self.assertEqual(applied, [("b", b"v", 0.0)])
-        self.assertEqual(offset, 2)
-
-    def test_records_read_by_a_peer_are_not_read_again(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            before = log.reads
-            for number in range(20):
-                record = KeyedRecord(offset=1 + number, key=f"p{number}", value=b"v")
-                page = KeyedPage(records=(record,), next_offset=2 + number)
-                follower.apply_read_of_peer(1 + number, page)
-                follower.apply_read_of_peer(1 + number, page)
-                await asyncio.sleep(0.2)
-            return log.reads - before, len(sink.applied), follower.next_offset
-
-        self.assertEqual(self.run_scenario(scenario), (0, 20, 21))
-
-    def test_records_after_a_gap_are_ignored(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            record = KeyedRecord(offset=5, key="late", value=b"v")
-            follower.apply_read_of_peer(5, KeyedPage(records=(record,), next_offset=6))
-            return sink.applied, follower.next_offset
-
-        self.assertEqual(self.run_scenario(scenario), ([], 1))
-
-    def test_newest_records_of_a_peer_close_a_gap(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            record = KeyedRecord(offset=5, key="b", value=b"v")
-            newer = KeyedPage(records=(record,), next_offset=6)
-            follower.apply_catch_up(newer, is_complete=True)
-            older = KeyedPage(records=(), next_offset=3)
-            follower.apply_catch_up(older, is_complete=True)
-            return sink.replaced[-1][0], follower.next_offset
-
-        self.assertEqual(self.run_scenario(scenario), (["b"], 6))
-
-    def test_removals_after_an_outage_have_a_grace_time(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            log.is_unavailable = True
-            await asyncio.sleep(OUTAGE_S + 2)
-            log.add("a", None)
-            log.is_unavailable = False
-            await asyncio.sleep(1.5)
-            log.add("b", None)
-            await asyncio.sleep(REMOVAL_GRACE_S + 0.5)
-            log.add("c", None)
-            await asyncio.sleep(1.0)
-            return {key: grace_s for key, _, grace_s in sink.applied}
-
-        graces = self.run_scenario(scenario)
-        self.assertEqual(graces["a"], REMOVAL_GRACE_S)
-        self.assertLess(graces["b"], REMOVAL_GRACE_S - 0.5)
-        self.assertEqual(graces["c"], 0.0)
-
-    def test_renew_poll_reads_at_once_after_failures(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            log.is_unavailable = True
-            await asyncio.sleep(OUTAGE_S + 10)
-            log.is_unavailable = False
-            log.add("b")
-            follower.renew_poll()
-            await asyncio.sleep(0.01)
-            return [key for key, _, _ in sink.applied]
-
-        self.assertEqual(self.run_scenario(scenario), ["b"])
-
-    def test_read_rate_is_bounded_during_an_outage(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            log.is_unavailable = True
-            before = log.reads
-            await asyncio.sleep(10)
-            return log.reads - before
-
-        self.assertLess(self.run_scenario(scenario), 20)
-
-    def test_read_soon_reads_at_once(self):
-        async def scenario(follower, log, sink, sent_to_peers):
-            page = KeyedPage(records=(), next_offset=1)
-            follower.apply_read_of_peer(1, page)
-            log.add("b")
-            follower.read_soon()
-            await asyncio.sleep(0.01)
-            return [key for key, _, _ in sink.applied]
-
-        self.assertEqual(self.run_scenario(scenario), ["b"])
-
-
 class CallPlacementTest(unittest.TestCase):
     def candidates(self, *call_s, slots=6):
         found = []
@@ -397,19 +210,6 @@
         self.assertFalse(breaker.is_open)
 
 
-class ClockWatchTest(unittest.TestCase):
-    def test_difference_between_the_clocks_is_reported_once(self):
-        clocks = {"loop": 100.0, "boot": 5000.0}
-        watch = ClockWatch(loop_time_s=lambda: clocks["loop"], boot_time_s=lambda: clocks["boot"])
-        clocks["loop"] += 1
-        clocks["boot"] += 1.01
-        self.assertEqual(watch.suspended_s(), 0.0)
-        clocks["loop"] += 1
-        clocks["boot"] += 6
-        self.assertAlmostEqual(watch.suspended_s(), 5.0)
-        self.assertEqual(watch.suspended_s(), 0.0)
-
-
 class SettingsWatchTest(PausedCase):
     def watch(self, folder, seen, load):
         self.path = Path(folder) / "boot.toml"
