--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -255,9 +255,7 @@
         """Send one request on a new connection and return the reply."""
         data = self.render(kind, deadline_ms=deadline_ms, **options)
         began_s = self.loop.time()
-        transport, caller = await self.loop.create_connection(
-            _CallerProtocol, f"10.0.0.{entry + 1}", 80
-        )
+        transport, caller = await self.open_caller(entry)
         transport.write(data)
         if disconnect_after_s is not None:
             await asyncio.sleep(disconnect_after_s)
@@ -273,6 +271,10 @@
         reply.taken_s = self.loop.time() - began_s
         return reply
 
+    async def open_caller(self, entry=0):
+        """Open a caller's connection; return its transport and its protocol with the `data`."""
+        return await self.loop.create_connection(_CallerProtocol, f"10.0.0.{entry + 1}", 80)
+
     async def readiness(self, entry=0):
         """Return the status of an entry's readiness check."""
         return (await self.page(f"10.0.0.{entry + 1}", 81, "/readiness")).status
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -162,6 +162,8 @@
         self.script = None
         self.request_count = 0
         self.address = ""
+        self._is_speaking = asyncio.Event()
+        self._is_speaking.set()
         self._server = IngressServer(handler=self._handle)
 
     async def start(self, host, port=80):
@@ -171,6 +173,12 @@
     def stop(self):
         self._server.close()
 
+    async def fall_silent(self, duration_s):
+        """Send nothing for a time, then go on with all that was under way."""
+        self._is_speaking.clear()
+        await asyncio.sleep(duration_s)
+        self._is_speaking.set()
+
     def entry(self, **changes):
         """Return the target's registration."""
         entry = {
@@ -188,6 +196,7 @@
 
     async def _handle(self, request, responder):
         headers = {name.lower().decode(): value.decode() for name, value in request.headers}
+        await self._is_speaking.wait()
         if request.target == b"/report":
             self.reports += 1
             tickets = [{"id": name, "tokens": size} for name, size in self.tickets.items()]
@@ -241,6 +250,7 @@
         )
         try:
             await asyncio.sleep(self.work_s)
+            await self._is_speaking.wait()
             if step == "lose":
                 responder.abort()
             elif step == "error":
@@ -266,6 +276,7 @@
                 await responder.send(b"id: %d\nda" % number)
                 responder.abort()
                 return
+            await self._is_speaking.wait()
             run.events.append(number)
             await responder.send(b"id: %d\ndata: %d\n\n" % (number, number))
             await asyncio.sleep(self.gap_s)
