Log a response that is cut, and count connections closed for idleness

A cut answer had no line of its own (an error in the handler was logged without its request), and a kept connection that the idle timer closes left no trace. Line 213 names the path, whether the response had begun and the request's age; the metric caller_connections_idle_closed counts the others. Tests: test_ingress (both new).

--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -484,6 +484,7 @@
             "stalls": self._stall.stalls,
             "config_version": self.config_version,
             "caller_connections": self._caller_server.open_connections,
+            "caller_connections_idle_closed": self._caller_server.idle_closed,
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -82,6 +82,7 @@
 
     Attributes:
         is_busy: Whether a request is being handled.
+        was_idle_too_long: Whether the connection was closed because no request came in time.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         on_close: Callable[["IngressConnection"], None],
     ) -> None:
         self.is_busy = False
+        self.was_idle_too_long = False
         self._handler = handler
         self._limits = limits
         self._on_open = on_open
@@ -206,6 +208,12 @@
             log_event(Event.TASK_FAILED, task="request", error=repr(error))
         self.is_busy = False
         if not responder.is_complete:
+            log_event(
+                Event.RESPONSE_CUT,
+                path=request.path.decode("latin-1"),
+                has_begun=responder.has_begun,
+                age_s=round(self._loop.time() - request.read_at_s, 3),
+            )
             self.abort()
         elif responder.closes or (self._is_draining and not self._pending):
             self.close()
@@ -257,6 +265,7 @@
     def _on_timeout(self) -> None:
         self._timer = None
         if self._wait is _Wait.REQUEST or self._wait is None:
+            self.was_idle_too_long = True
             self.close()
             return
         self._parser.error = BadRequestError(REQUEST_TIMEOUT, f"{self._wait.value} took too long")
--- a/src/cicadatiller/ingress/_server.py
+++ b/src/cicadatiller/ingress/_server.py
@@ -17,10 +17,12 @@
 
     Attributes:
         limits: The current limits; a connection applies new ones from its next request on.
+        idle_closed: The number of connections that were closed because no request came in time.
     """
 
     def __init__(self, *, handler: Handler, limits: IngressLimits | None = None) -> None:
         self.limits = limits or IngressLimits()
+        self.idle_closed = 0
         self._handler = handler
         self._connections: set[IngressConnection] = set()
         self._server: asyncio.Server | None = None
@@ -67,12 +69,16 @@
         for connection in list(self._connections):
             connection.abort()
 
+    def _forget(self, connection: IngressConnection) -> None:
+        self._connections.discard(connection)
+        self.idle_closed += connection.was_idle_too_long
+
     def _create_connection(self) -> IngressConnection:
         connection = IngressConnection(
             handler=self._handler,
             limits=lambda: self.limits,
             on_open=self._connections.add,
-            on_close=self._connections.discard,
+            on_close=self._forget,
         )
         if self._is_draining:
             connection.announce_close()
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -31,6 +31,7 @@
     CHECKSUM_MISMATCH = (207, "error", "An answer did not match its checksum.")
     CALLER_REFUSED = (210, "info", "A caller's HTTP request was invalid, too large or too slow.")
     REQUEST_PLACED = (211, "info", "A request was assigned to its targets.")
+    RESPONSE_CUT = (213, "warning", "A caller's connection was closed within its response.")
     REQUEST_ABANDONED = (212, "info", "A caller disconnected before the end of its response.")
     PEER_CONNECTED = (300, "info", "A peer connection was established.")
     PEER_LOST = (301, "warning", "A peer connection was lost or timed out.")
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,8 +1,10 @@
 """Tests of the HTTP/1.1 server."""
 
 import asyncio
+from unittest import mock
 
 from cicadatiller.ingress import IngressLimits, IngressServer, Response
+from cicadatiller.kernel import Event
 
 from .support.streams import NetworkCase
 
@@ -227,6 +229,16 @@
 
         self.assertEqual(self.run_paused(scenario()), (False, True))
 
+    def test_connections_closed_for_idleness_are_counted(self):
+        async def scenario():
+            server = await self.serve()
+            idle, left = await self.call(GET), await self.call(GET)
+            left.transport.abort()
+            await asyncio.sleep(16.0)
+            return idle.closed, server.idle_closed
+
+        self.assertEqual(self.run_paused(scenario()), (True, 1))
+
     def test_a_connection_with_a_request_being_handled_is_not_idle(self):
         async def scenario():
             async def handler(request, responder):
@@ -253,6 +265,20 @@
 
 
 class ClosingTest(IngressCase):
+    def test_a_response_that_is_cut_is_logged_with_its_request(self):
+        async def scenario():
+            async def handler(request, responder):
+                await responder.start_stream(200, ())
+
+            await self.serve(handler)
+            return await self.call(GET)
+
+        with mock.patch("cicadatiller.ingress._connection.log_event") as log_event:
+            caller = self.run_paused(scenario())
+        self.assertTrue(caller.closed)
+        (cut,) = (call for call in log_event.mock_calls if call.args[0] is Event.RESPONSE_CUT)
+        self.assertEqual((cut.kwargs["path"], cut.kwargs["has_begun"]), ("/a/b", True))
+
     def test_the_handler_is_cancelled_when_the_caller_disconnects(self):
         for how in ("close", "abort"):
             with self.subTest(how):
