Close idle connections by the limits in force, not by those of when they became idle

What callers saw: a request on a kept connection is neither answered nor refused; the connection closes. Cause: the idle timer was started with the idle timeout of that moment. A configuration that lengthens the timeout takes effect at the callers at once, and they keep connections for longer than the entry did. Why this works: a timer that fires compares its time with the limits in force, and is started again if they allow more. The same holds for the header timeout.

--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -108,6 +108,7 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._wait: _Wait | None = None
+        self._waiting_since_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._is_draining = False
         self._has_ended = False
@@ -244,11 +245,16 @@
         if wait is self._wait:
             return
         self._wait = wait
+        self._waiting_since_s = self._loop.time()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if wait is not None:
-            self._timer = self._loop.call_later(self._timeout_s(wait), self._on_timeout)
+            self._start_timer(wait)
+
+    def _start_timer(self, wait: _Wait) -> None:
+        due_s = self._waiting_since_s + self._timeout_s(wait)
+        self._timer = self._loop.call_at(due_s, self._on_timeout, wait, due_s)
 
     def _current_wait(self) -> _Wait | None:
         if self._has_ended or self.is_busy or self._pending or self._parser.error is not None:
@@ -262,13 +268,17 @@
             return self._limits().header_timeout_s
         return BODY_TIMEOUT_S if wait is _Wait.BODY else self._limits().idle_timeout_s
 
-    def _on_timeout(self) -> None:
+    def _on_timeout(self, wait: _Wait, due_s: float) -> None:
         self._timer = None
-        if self._wait is _Wait.REQUEST or self._wait is None:
+        # New limits may have lengthened the timeout since the timer was started.
+        if self._waiting_since_s + self._timeout_s(wait) > due_s:
+            self._start_timer(wait)
+            return
+        if wait is _Wait.REQUEST:
             self.was_idle_too_long = True
             self.close()
             return
-        self._parser.error = BadRequestError(REQUEST_TIMEOUT, f"{self._wait.value} took too long")
+        self._parser.error = BadRequestError(REQUEST_TIMEOUT, f"{wait.value} took too long")
         self._wake.set()
 
 
