Answer a request whose handler fails

What callers saw: the connection closes, neither an answer nor a refusal. Cause: an unexpected error in the handler reached the connection's task, which can only abort. The log line did not name the request. Evidence: test_request_is_answered_when_its_handler_raises failed before (status 0), 502 with the change.

--- a/src/cicadatiller/gateway/_handler.py
+++ b/src/cicadatiller/gateway/_handler.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..ingress import Request, Responder
-from ..kernel import Event, FailureError, RunState, StallWatch, log_event
+from ..kernel import ErrorKind, Event, FailureError, RunState, StallWatch, fail, log_event
 from ..routes import RouteTable
 from ._admission import admit
 from ._failure_response import failure_response, failure_status
@@ -71,6 +71,13 @@
         except asyncio.CancelledError:
             self._log_end(Event.REQUEST_ABANDONED, request, fields, progress)
             raise
+        except Exception as error:
+            log_event(
+                Event.TASK_FAILED, task="request", request_id=fields.request_id, error=repr(error)
+            )
+            internal = fail(ErrorKind.INTERNAL, "the entry failed to handle the request")
+            await self._answer_failure(internal, request, fields, progress, responder)
+            return
         self._metrics.record_finished(outcome.status)
         self._log_end(
             Event.REQUEST_FINISHED,
