Read a silent target on beside the next attempt; the first with output ends the others

What callers would see: a stream that hangs at its second target while the first one has gone on; one that is cut by a wrong event of the second; a prompt that waits for memory that the hung first target's attempt still held; 8 s until a hung target is given up; a slot that stays taken for good if the caller leaves just as the second target is placed. Cause: the attempts were still one after another: the silent one was read only when nothing else was left, and a grant passed from task to task. Why this works: RequestForwarding reads a silent attempt in a task of its own beside the next one, which places and sends in one task. The first that has output for the caller closes the others. A retry is charged to the budget when it is sent. A failed liveness check opens the breaker once, not again for each silent stream of the target.

--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -224,10 +225,12 @@
         """Return whether a read would not block: data, the end or an error is available."""
         return bool(self._heads or self._body) or self._is_complete or self._error is not None
 
-    async def wait_readable(self) -> None:
-        """Wait until a read would not block."""
+    async def wait_for_data(self) -> bool:
+        """Wait until data or the end of the response can be read; return False on an error."""
         while not self.is_readable:
-            await self._wait()
+            with suppress(EgressError):
+                await self._wait()
+        return bool(self._heads or self._body) or self._is_complete
 
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the final response; raises `EgressError`."""
--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request: its connection to a target, its reservations and its response."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -47,7 +48,7 @@
         scheduler: Is told of first events, calls and the end of each attempt.
         reservations: Reserves memory on helpers.
         metrics: Records latencies.
-        is_alive: Runs a liveness check of a target.
+        is_alive: Runs a liveness check of an engine.
     """
 
     codec: WireCodec
@@ -62,7 +63,7 @@
     """One attempt of a request at the targets of a grant.
 
     An attempt whose target sends nothing may be kept open and read further: a target that is silent
-    for a moment still answers. Whoever makes an attempt calls `close`, however it ends.
+    for a moment still answers. Whoever makes an attempt calls `close` once, however it ends.
 
     Args:
         services: What the attempts of all requests share.
@@ -71,8 +72,7 @@
         responder: Writes the response to the caller.
         progress: The state of the request across its attempts.
         now_s: The loop time.
-        on_first_event: Called at the first event or the complete response that this attempt
-            forwards.
+        on_output: Called with this attempt before it writes anything to the caller.
 
     Attributes:
         grant: The targets.
@@ -88,7 +88,7 @@
         responder: Responder,
         progress: Progress,
         now_s: Callable[[], float],
-        on_first_event: Callable[[], None],
+        on_output: Callable[["Attempt"], None],
     ) -> None:
         self.grant = grant
         self.began_s = now_s()
@@ -97,7 +97,7 @@
         self._responder = responder
         self._progress = progress
         self._now_s = now_s
-        self._on_first_event = on_first_event
+        self._on_output = on_output
         self._held: ReservationGroup | None = None
         self._connection: EgressConnection | None = None
         self._sent_s = 0.0
@@ -119,22 +119,21 @@
             return AttemptOutcome(delivery=Delivery.UNSENT, reason=str(error))
         self._progress.sends += 1
         self._progress.sent_to.add(self.grant.host.instance_id)
-        may_move = self._job.route.is_idempotent and self._has_attempts_left()
-        return await self._exchange(self._connection, has_timeouts=may_move)
+        return await self._exchange(self._connection)
 
-    async def go_on(self, *, has_timeouts: bool) -> AttemptOutcome:
-        """Read on after the attempt ended as silent.
-
-        Args:
-            has_timeouts: Whether it ends as silent once more after a time without data.
-        """
+    async def has_data_within(self, timeout_s: float) -> bool:
+        """Wait for data from a silent target; return whether there is any."""
         assert self._connection is not None
-        return await self._read_response(self._connection, has_timeouts=has_timeouts)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._connection.wait_for_data()
+        except TimeoutError:
+            return False
 
-    async def wait_readable(self) -> None:
-        """Wait until a silent target sends data or its connection ends."""
+    async def read_on(self) -> AttemptOutcome:
+        """Go on with the response of a target that was silent."""
         assert self._connection is not None
-        await self._connection.wait_readable()
+        return await self._read_response(self._connection)
 
     def close(self) -> None:
         """Release the targets; a response that is incomplete is abandoned."""
@@ -144,8 +143,11 @@
             self._held.start_release_all()
         self._services.scheduler.release(self.grant)
 
-    def _has_attempts_left(self) -> bool:
-        return len(self._progress.sent_to) < self._job.route.max_attempts
+    @property
+    def _has_timeouts(self) -> bool:
+        """Return whether the attempt may end as silent, as another target may get the request."""
+        route = self._job.route
+        return route.is_idempotent and len(self._progress.sent_to) < route.max_attempts
 
     def _record_failed_reservation(self, error: ReservationError) -> AttemptOutcome:
         for target in error.failed_targets:
@@ -174,9 +176,7 @@
             timeout_s=pool.connect_timeout.timeout_s,
         )
 
-    async def _exchange(
-        self, connection: EgressConnection, *, has_timeouts: bool
-    ) -> AttemptOutcome:
+    async def _exchange(self, connection: EgressConnection) -> AttemptOutcome:
         codec = self._services.codec
         try:
             connection.start(
@@ -187,35 +187,31 @@
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
         self._record_proxy_overhead()
         self._sent_s = self._now_s()
-        return await self._read_response(connection, has_timeouts=has_timeouts)
+        return await self._read_response(connection)
 
-    async def _read_response(
-        self, connection: EgressConnection, *, has_timeouts: bool
-    ) -> AttemptOutcome:
+    async def _read_response(self, connection: EgressConnection) -> AttemptOutcome:
         try:
             if self._head is None:
-                self._head = await self._read_head(connection, has_timeouts=has_timeouts)
-            return await self._read_rest(connection, self._head, has_timeouts=has_timeouts)
+                self._head = await self._read_head(connection)
+            return await self._read_rest(connection, self._head)
         except TargetUnresponsiveError as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error), is_silent=True)
         except (EgressError, EventTooLongError) as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
 
-    async def _read_rest(
-        self, connection: EgressConnection, head: ResponseHead, *, has_timeouts: bool
-    ) -> AttemptOutcome:
+    async def _read_rest(self, connection: EgressConnection, head: ResponseHead) -> AttemptOutcome:
         if self._services.codec.says_not_run(head):
             return await self._read_refusal(connection, head)
         if head.status == OK and self._job.route.kind is RouteKind.STREAM:
             if self._relay is None:
                 self._relay = self._make_relay(connection)
-            return await self._relay.run(connection, head, has_timeouts=has_timeouts)
+            return await self._relay.run(connection, head, has_timeouts=self._has_timeouts)
         outcome = await self._read_answer(connection, head)
         self._services.scheduler.record_call(self.grant, self._now_s() - self._sent_s)
         return outcome
 
-    async def _read_head(self, connection: EgressConnection, *, has_timeouts: bool) -> ResponseHead:
-        probe_after_s = self._head_timeout_s() if has_timeouts else None
+    async def _read_head(self, connection: EgressConnection) -> ResponseHead:
+        probe_after_s = self._head_timeout_s() if self._has_timeouts else None
         is_call = self.grant.placement is None
         return await read_with_liveness_check(
             connection.read_head,
@@ -231,11 +227,14 @@
             route=self._job.route,
             progress=self._progress,
             responder=self._responder,
+            on_output=lambda: self._on_output(self),
             on_first_event=lambda: self._record_first_event(connection),
             is_alive=self._is_alive,
         )
 
     async def _is_alive(self) -> bool:
+        if self.grant.placement is None:
+            return False
         return await self._services.is_alive(self.grant.host)
 
     def _encode(self) -> bytes:
@@ -287,6 +286,7 @@
             )
         if head.status < FIRST_NON_SUCCESS and not codec.has_signature(head):
             return AttemptOutcome(delivery=Delivery.LOST, reason="response has no target signature")
+        self._on_output(self)
         self._record_response_start(connection)
         await self._responder.answer(answer)
         return AttemptOutcome(delivery=Delivery.DONE, reason="", status=head.status)
@@ -298,7 +298,6 @@
             progress.added_s = taken_s - progress.waited_s
 
     def _record_first_event(self, connection: EgressConnection) -> None:
-        self._on_first_event()
         self._services.scheduler.record_first_event(self.grant)
         self._record_response_start(connection)
 
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -415,6 +415,9 @@
             return
         if outcome.delivery is Delivery.REFUSED and outcome.status != MISDIRECTED:
             return
+        if outcome.is_silent and target.breaker.is_unreachable:
+            # The liveness check has opened the breaker, for all requests of the target at once.
+            return
         unreachable = outcome.delivery is Delivery.UNSENT
         target.breaker.record_failure(now_s, unreachable=unreachable)
         if outcome.delivery in (Delivery.UNSENT, Delivery.LOST):
--- a/src/cicadatiller/gateway/_retry_budget.py
+++ b/src/cicadatiller/gateway/_retry_budget.py
@@ -98,6 +98,13 @@
 
     def try_spend(self, service: str, now_s: float) -> bool:
         """Spend one retry of a service if the budget allows it; return whether it does."""
+        if not self.has_left(service, now_s):
+            return False
+        self._retries[service].add(now_s)
+        return True
+
+    def has_left(self, service: str, now_s: float) -> bool:
+        """Return whether the budget allows one more retry of a service now."""
         self._expire(service, now_s)
         uses = [use[service] for use in self._peers.values() if service in use]
         requests = len(self._requests[service]) + sum(use.requests for use in uses)
@@ -111,7 +118,6 @@
             own_part = limit / self.connected_entries
             if burst + 1 > max(1.0, BURST_SHARE * own_part):
                 return False
-        self._retries[service].add(now_s)
         return True
 
     def _expire(self, service: str, now_s: float) -> None:
--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -30,6 +30,7 @@
         route: The request's route.
         progress: Records the last event that was forwarded.
         responder: Writes the response to the caller.
+        on_output: Called before anything is written to the caller.
         on_first_event: Called at the first event of this attempt.
         is_alive: Runs a liveness check of the target.
     """
@@ -41,6 +42,7 @@
         route: Route,
         progress: Progress,
         responder: Responder,
+        on_output: Callable[[], None],
         on_first_event: Callable[[], None],
         is_alive: Callable[[], Awaitable[bool]],
     ) -> None:
@@ -48,6 +50,7 @@
         self._route = route
         self._progress = progress
         self._responder = responder
+        self._on_output = on_output
         self._on_first_event = on_first_event
         self._is_alive = is_alive
         self._splitter = EventSplitter()
@@ -69,11 +72,7 @@
             EventTooLongError: If an event is longer than `MAX_EVENT_BYTES`.
         """
         while data := await self._read(connection, has_timeouts=has_timeouts):
-            events = self._splitter.feed(data)
-            if events and not self._has_begun:
-                self._has_begun = True
-                self._on_first_event()
-            for event in events:
+            for event in self._splitter.feed(data):
                 await self._forward_event(event, head)
         return await self._finish(head)
 
@@ -83,6 +82,10 @@
             raise MalformedResponseError(
                 f"stream event {event.event_id!r} follows event {last_id!r}"
             )
+        self._on_output()
+        if not self._has_begun:
+            self._has_begun = True
+            self._on_first_event()
         await self._start_response(head)
         await self._responder.send(event.data)
         if event.event_id:
@@ -91,6 +94,7 @@
     async def _finish(self, head: ResponseHead) -> AttemptOutcome:
         if self._splitter.has_partial_event:
             return AttemptOutcome(delivery=Delivery.LOST, reason="stream ended within an event")
+        self._on_output()
         await self._start_response(head)
         await self._responder.finish()
         return AttemptOutcome(delivery=Delivery.DONE, reason="", status=head.status)
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -113,7 +113,7 @@
         while True:
             await asyncio.sleep(RENEW_INTERVAL_SHARE * self._hold_s)
             # After a whole interval more the reservation would have expired.
-            while await self._reserve_ticket(ticket, held) is ReserveResult.UNKNOWN:
+            while await self._send_reserve(ticket, held) is ReserveResult.UNKNOWN:
                 await asyncio.sleep(RENEW_RETRY_DELAY_S)
 
     async def release(self, ticket: Ticket, *, may_apply_late: bool) -> None:
@@ -143,16 +143,21 @@
         return self._tasks.start(self.renew(held), name="renew tickets")
 
     async def _reserve_ticket(self, ticket: Ticket, held: "ReservationGroup") -> ReserveResult:
-        """Reserve or renew one ticket; retries are idempotent because they repeat its name."""
+        """Reserve one ticket; retries are idempotent because they repeat its name."""
         result = ReserveResult.UNKNOWN
         for _ in range(MAX_RESERVE_ATTEMPTS):
-            result = await self._orders.reserve(
-                ticket.address, ticket.name, tokens=ticket.tokens, hold_s=self._hold_s
-            )
+            result = await self._send_reserve(ticket, held)
             is_lost = result is ReserveResult.UNKNOWN
             self.loss_rate += LOSS_RATE_GAIN * (is_lost - self.loss_rate)
             if not is_lost:
                 break
+        return result
+
+    async def _send_reserve(self, ticket: Ticket, held: "ReservationGroup") -> ReserveResult:
+        result = await self._orders.reserve(
+            ticket.address, ticket.name, tokens=ticket.tokens, hold_s=self._hold_s
+        )
+        if result is ReserveResult.UNKNOWN:
             held.may_apply_late = True
         return result
 
--- a/tests/test_requests_without_answer.py
+++ b/tests/test_requests_without_answer.py
@@ -1,8 +1,9 @@
 """Tests that a request which an entry has read ends with a complete answer or a refusal."""
 
 import asyncio
+import functools
 
-from .support.gateways import GatewayCase, configuration, route
+from .support.gateways import ENGINE, GatewayCase, configuration, route
 
 SILENCE_S = 1.2
 
@@ -112,6 +113,161 @@
         self.assertEqual((reply.status, reply.whole), (200, True), reply)
 
 
+class SilentAndOtherTargetTest(GatewayCase):
+    """A silent target that goes on while the request is at another one."""
+
+    async def silence_target_of_stream(self, fleet, **options):
+        """Send a stream's request; return the task, its target, and the other targets."""
+        asking = fleet.loop.create_task(fleet.ask("stream", deadline_ms=8000, **options))
+        await asyncio.sleep(0.15)
+        silent = next(t for t in fleet.targets.values() if fleet.runs[-1] in t.runs)
+        return asking, silent, [t for t in fleet.targets.values() if t is not silent]
+
+    def assert_whole_before(self, reply, limit_s):
+        self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True), reply)
+        self.assertLess(reply.taken_s, limit_s)
+
+    def test_stream_goes_on_at_the_silent_target_when_the_other_one_hangs(self):
+        async def scenario(fleet):
+            asking, silent, others = await self.silence_target_of_stream(fleet)
+            for other in others:
+                other.script = lambda headers, number: "hang"
+            await silent.fall_silent(SILENCE_S)
+            return await asking
+
+        self.assert_whole_before(self.run_scenario(scenario, targets=("engines",) * 2), 2.0)
+
+    def test_stream_goes_on_at_the_silent_target_when_the_other_one_is_late(self):
+        async def scenario(fleet):
+            asking, silent, (other,) = await self.silence_target_of_stream(fleet)
+            other.work_s = 3.0
+            await silent.fall_silent(SILENCE_S)
+            reply = await asking
+            await asyncio.sleep(0.1)
+            return reply, fleet.runs[1].cancelled
+
+        reply, is_cancelled = self.run_scenario(scenario, targets=("engines",) * 2)
+        self.assert_whole_before(reply, 2.0)
+        self.assertTrue(is_cancelled)
+
+    def test_stream_goes_on_at_the_silent_target_after_a_wrong_event_of_the_other_one(self):
+        async def scenario(fleet):
+            asking, silent, (other,) = await self.silence_target_of_stream(fleet)
+            stream = other._stream
+
+            async def stream_from_the_start(run, headers, *rest):
+                headers.pop("last-event-id", None)
+                await stream(run, headers, *rest)
+
+            other._stream = stream_from_the_start
+            await silent.fall_silent(SILENCE_S)
+            return await asking
+
+        self.assert_whole_before(self.run_scenario(scenario, targets=("engines",) * 2), 2.0)
+
+    def test_stream_is_left_running_at_one_target_only(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.events = 60
+            asking, silent, others = await self.silence_target_of_stream(fleet)
+            silences = [fleet.loop.create_task(silent.fall_silent(2.3))]
+            await asyncio.sleep(0.75)
+            silences += [fleet.loop.create_task(other.fall_silent(2.2)) for other in others]
+            await asyncio.gather(*silences)
+            await asyncio.sleep(1.0)
+            still_running = sum(not run.cancelled for run in fleet.runs)
+            return await asking, still_running
+
+        routes = [route("stream", max_attempts=3)]
+        reply, still_running = self.run_scenario(
+            scenario, targets=("engines",) * 3, config=configuration(3, routes=routes)
+        )
+        self.assertEqual((reply.events, reply.whole), (list(range(1, 61)), True))
+        self.assertEqual(still_running, 1)
+
+    def test_target_that_hangs_is_given_up_long_before_the_deadline(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.script = lambda headers, number: (
+                    503 if "last-event-id" in headers else None
+                )
+            asking, silent, _ = await self.silence_target_of_stream(fleet)
+            await silent.fall_silent(7.0)
+            return await asking
+
+        reply = self.run_scenario(scenario, targets=("engines",) * 2)
+        self.assertEqual((reply.events, reply.whole), ([1, 2, 3], False))
+        self.assertLess(reply.taken_s, 5.0)
+
+    def test_retry_that_is_not_sent_costs_none_of_the_budget(self):
+        async def scenario(fleet):
+            asking, silent, _ = await self.silence_target_of_stream(fleet)
+            await silent.fall_silent(SILENCE_S)
+            await asking
+            budget = fleet.gateways[0]._budget
+            return {name: retries for name, _, retries in budget.own_use(fleet.loop.time())}
+
+        retries = self.run_scenario(scenario, targets=("engines",))
+        self.assertEqual(retries.get("engines", 0), 0)
+
+    def test_no_slot_stays_taken_when_the_caller_leaves_at_any_step_of_a_move(self):
+        async def play(fleet, steps):
+            transport, _ = await fleet.open_caller()
+            transport.write(fleet.render("stream", deadline_ms=9000))
+            await asyncio.sleep(0.15)
+            silent = next(t for t in fleet.targets.values() if fleet.runs[-1] in t.runs)
+            silence = fleet.loop.create_task(silent.fall_silent(SILENCE_S))
+            before = len(fleet.runs)
+            scheduler = fleet.gateways[0]._scheduler
+            acquire, granted = scheduler.acquire, asyncio.Event()
+
+            async def acquire_and_tell(job, **options):
+                grant = await acquire(job, **options)
+                granted.set()
+                return grant
+
+            scheduler.acquire = acquire_and_tell
+            await granted.wait()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            (connection,) = fleet.gateways[0]._caller_server._connections
+            connection._task.cancel()
+            await silence
+            transport.abort()
+            scheduler.acquire = acquire
+            await asyncio.sleep(1.0)
+            self.assertLessEqual(len(fleet.runs) - before, 1)
+            board = fleet.gateways[0].board
+            return sum(board.load(name).in_flight for name in fleet.targets)
+
+        for steps in range(12):
+            with self.subTest(steps=steps):
+                taken = self.run_scenario(
+                    lambda fleet, steps=steps: play(fleet, steps), targets=("engines",) * 2
+                )
+                self.assertEqual(taken, 0)
+
+    def test_memory_of_a_host_that_hangs_is_free_for_the_next_attempt(self):
+        async def scenario(fleet):
+            def accept(target, order):
+                if order["operation"] != "reserve" or order["id"] in target.tickets:
+                    return 200
+                used = sum(target.tickets.values()) + order["tokens"]
+                return 409 if used > ENGINE["kv_capacity_tokens"] else 200
+
+            steps = iter(["hang"])
+            for target in fleet.targets.values():
+                target.order_handler = functools.partial(accept, target)
+                target.script = lambda headers, number: next(steps, None)
+            return await fleet.ask("stream", deadline_ms=110_000, tokens=(300_000, 100))
+
+        routes = [route("stream", timeout_ms=120_000, target_latency_ms=20_000)]
+        reply = self.run_scenario(
+            scenario, targets=("engines",) * 3, config=configuration(3, routes=routes)
+        )
+        self.assert_whole_before(reply, 40.0)
+
+
 class HandlerErrorTest(GatewayCase):
     def test_request_is_answered_when_its_handler_raises(self):
         async def scenario(fleet):
