Check engines for life whatever the configuration says of their service

What callers saw: a stream with event gaps of 0.6 s and more is cut or moved beside a change of the configuration, with no silence and no trouble at all. Cause: the liveness check of a stream without data for 0.6 s looked up whether the target's service has engines in the newest configuration. If a version moves the route and drops the service, the target counted as dead without being asked. Why this works: whether the target is an engine follows from the request's own placement.

--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -58,12 +58,7 @@
                 self._tasks.start(self._probe(target), name=f"report of {target.instance_id}")
 
     async def is_alive(self, target: Target) -> bool:
-        """Return whether an engine responds to a liveness check; concurrent checks share one call.
-
-        Targets that are not engines have no report, and count as dead.
-        """
-        if not self._is_engine(target.record.service):
-            return False
+        """Return whether an engine responds to a liveness check; concurrent checks share one call."""
         check = self._pending_checks.get(target.instance_id)
         if check is None:
             check = asyncio.get_running_loop().create_task(self._run_liveness_check(target))
--- a/tests/test_answers_beside_changes.py
+++ b/tests/test_answers_beside_changes.py
@@ -134,3 +134,23 @@
                     timed_out = reply.taken_s >= MIN_TIMEOUT_MS / 1000
                     self.assertTrue(reply.whole or timed_out, (kind, reply))
                     self.assertLess(reply.taken_s, DEADLINE_MS / 1000 + SLACK_S, (kind, reply))
+
+
+class ChangedServiceTest(GatewayCase):
+    def test_stream_with_long_event_gaps_is_not_cut_when_a_change_drops_its_service(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.gap_s = 0.8
+            asking = fleet.loop.create_task(fleet.ask("stream", deadline_ms=9000))
+            await asyncio.sleep(0.1)
+            change = configuration(4, routes=[route("stream", service="engines-2")])
+            change["services"][1] |= {"name": "engines-2"}
+            fleet.store.write("keyed.op", "config", change)
+            reply = await asking
+            return reply, len(fleet.runs)
+
+        for targets in (("engines",), ("engines", "engines")):
+            with self.subTest(targets=targets):
+                reply, runs = self.run_scenario(scenario, targets=targets)
+                self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True), reply)
+                self.assertEqual(runs, 1)
