Answer pipelined requests before a connection closes in the shutdown

What callers saw: the second of two pipelined requests gets nothing, though both were read before the shutdown's end. Cause: a response written after SIGTERM announced the close, and the connection closed with requests read and unserved. Why this works: the close is announced with the last request that was read.

--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -181,7 +181,7 @@
 
     def closes_after(self, request: Request) -> bool:
         """Return whether the connection closes after the response to a request."""
-        return not request.keep_alive or self._is_draining
+        return not request.keep_alive or (self._is_draining and not self._pending)
 
     async def write(self, data: bytes) -> None:
         """Write data, and wait while the write buffer is full."""
