Refuse a request that can't end before the entry does

What callers saw: a stream whose request was read whole 4 s after SIGTERM is cut at the end of the shutdown. Cause: only idle connections close 2.5 s after SIGTERM; one whose request was still arriving went on. Evidence: test_request_whose_body_ends_late_in_the_shutdown_is_refused failed before (cut). Why this works: from 2.5 s after SIGTERM on a request whose deadline lies beyond the end gets 503, not run, with Retry-After; shorter ones are served.

--- a/src/cicadatiller/gateway/_handler.py
+++ b/src/cicadatiller/gateway/_handler.py
@@ -29,6 +29,8 @@
         metrics: Counts responses and failures.
         stall: Detects stalls of the process.
         synced: Set once configuration and targets have been read.
+        ends_at_s: Returns the loop time at which open requests are cut off; infinite unless the
+            process is shutting down.
         rng: Selects one of a route's services by weight.
     """
 
@@ -41,6 +43,7 @@
         metrics: GatewayMetrics,
         stall: StallWatch,
         synced: asyncio.Event,
+        ends_at_s: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._codec = codec
@@ -49,6 +52,7 @@
         self._metrics = metrics
         self._stall = stall
         self._synced = synced
+        self._ends_at_s = ends_at_s
         self._rng = rng
         self._loop = asyncio.get_running_loop()
 
@@ -64,6 +68,8 @@
         table = self._table()
         try:
             job = admit(request, fields, table, self._rng)
+            if job.deadline_s > self._ends_at_s():
+                raise fail(ErrorKind.STOPPING, "the entry shuts down before the request's deadline")
             outcome = await self._forwarder.forward(job, responder, progress)
         except FailureError as error:
             await self._answer_failure(error, request, fields, progress, responder)
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 
@@ -110,6 +111,7 @@
         self._stall = StallWatch()
         self._synced = asyncio.Event()
         self._next_figures_s = self._loop.time() + FIGURES_INTERVAL_S
+        self._ends_at_s = math.inf
         self._clock = ClockWatch(loop_time_s=self._loop.time, boot_time_s=boot_time_s)
         self._configuration = ConfigurationSink(decoder=decoder, on_change=self._apply_limits)
         self._budget = RetryBudget(
@@ -207,6 +209,7 @@
         self._caller_server.announce_close()
         deadline_s = self._loop.time() + self._node.bounds.shutdown_s - SHUTDOWN_MARGIN_S
         await asyncio.sleep(BALANCER_DELAY_S)
+        self._ends_at_s = deadline_s
         self._caller_server.stop_listening()
         self._caller_server.drain()
         while self._caller_server.open_connections and self._loop.time() < deadline_s:
@@ -376,6 +379,7 @@
             metrics=self._metrics,
             stall=self._stall,
             synced=self._synced,
+            ends_at_s=lambda: self._ends_at_s,
             rng=random.Random(),
         )
 
--- a/tests/test_requests_without_answer.py
+++ b/tests/test_requests_without_answer.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 
-from .support.gateways import ENGINE, GatewayCase, configuration, route
+from .support.gateways import ENGINE, GatewayCase, configuration, parse_reply, route
 
 SILENCE_S = 1.2
 
@@ -268,6 +268,38 @@
         self.assert_whole_before(reply, 40.0)
 
 
+class ShutdownTest(GatewayCase):
+    def test_pipelined_requests_are_answered_in_the_shutdown(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.work_s = 1.0
+            transport, caller = await fleet.open_caller()
+            transport.write(fleet.render("safe") + fleet.render("safe"))
+            await asyncio.sleep(0.5)
+            fleet.stop()
+            await asyncio.sleep(4.0)
+            return caller.data.count(b"HTTP/1.1 200"), caller.ended.is_set()
+
+        self.assertEqual(self.run_scenario(scenario), (2, True))
+
+    def test_request_whose_body_ends_late_in_the_shutdown_is_refused(self):
+        async def scenario(fleet):
+            fleet.targets["t-1"].gap_s = 0.9
+            transport, caller = await fleet.open_caller()
+            data = fleet.render("stream", body=b"x" * 10, deadline_ms=10_000)
+            transport.write(data[:-5])
+            await asyncio.sleep(0.1)
+            fleet.stop()
+            await asyncio.sleep(4.0)
+            transport.write(data[-5:])
+            await asyncio.sleep(1.0)
+            return parse_reply(caller.data, ended=True), fleet.runs
+
+        reply, runs = self.run_scenario(scenario, targets=("engines",))
+        self.assertEqual((reply.status, reply.whole, runs), (503, True, []))
+        self.assertIn("retry-after", reply.headers)
+
+
 class HandlerErrorTest(GatewayCase):
     def test_request_is_answered_when_its_handler_raises(self):
         async def scenario(fleet):
