Streams to callers of HTTP/1.0 are not chunked, and are reset if they fail

Callers of HTTP/1.0 got chunk sizes within the body, as each stream was sent chunked whatever the caller's version. Their streams are now sent as they are and end with the connection. As that end is all that marks a body as whole, the socket is set to reset however it closes (a failed handler, the cut off at shutdown, a caller that closed its sending side, a killed process) until the stream is finished.

The tests failed before: chunked head and body; on real sockets the failed, cut off and half closed streams ended like complete ones.

--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import enum
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
@@ -24,6 +26,9 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 BODY_TIMEOUT_S = 10.0
 LINGER_S = 0.2
+# Values of SO_LINGER: whether it is on, and for how many seconds.
+CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
+CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
 
 
 class Responder(Protocol):
@@ -180,6 +185,13 @@
         """Return whether the connection closes after the response to a request."""
         return not request.keep_alive or self._is_draining
 
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Choose whether the system resets the connection however it closes, a kill included."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is not None:
+            linger = CLOSE_WITH_RESET if resets else CLOSE_GRACEFULLY
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def write(self, data: bytes) -> None:
         """Write data, and wait while the write buffer is full."""
         self._write(data)
@@ -264,7 +276,11 @@
 
 
 class _Responder:
-    """Writes the response to one request; implements `Responder`."""
+    """Writes the response to one request; implements `Responder`.
+
+    The end of the connection ends a body without chunks, so until it is whole any other end has to
+    be a reset.
+    """
 
     def __init__(self, *, connection: IngressConnection, request: Request) -> None:
         self.has_begun = False
@@ -283,15 +299,26 @@
 
     async def start_stream(self, status: int, headers: Iterable[Header]) -> None:
         self._begin()
-        await self._connection.write(render_stream_head(status, headers, close=self.closes))
+        is_chunked = self._request.accepts_chunks
+        if not is_chunked:
+            self.closes = True
+            self._connection.set_reset_on_close(True)
+        await self._connection.write(
+            render_stream_head(status, headers, close=self.closes, is_chunked=is_chunked)
+        )
 
     async def send(self, data: bytes) -> None:
         if data:
-            await self._connection.write(render_chunk(data))
+            await self._connection.write(
+                render_chunk(data) if self._request.accepts_chunks else data
+            )
 
     async def finish(self) -> None:
         self.is_complete = True
-        await self._connection.write(LAST_CHUNK)
+        if self._request.accepts_chunks:
+            await self._connection.write(LAST_CHUNK)
+        else:
+            self._connection.set_reset_on_close(False)
 
     def abort(self) -> None:
         self._connection.abort()
--- a/src/cicadatiller/ingress/_parser.py
+++ b/src/cicadatiller/ingress/_parser.py
@@ -8,6 +8,7 @@
 from ._request import Header, Request
 
 HTTP_VERSIONS = ("1.0", "1.1")
+VERSION_WITHOUT_CHUNKS = "1.0"
 LINE_OVERHEAD_BYTES = 4
 
 BAD_REQUEST = 400
@@ -143,6 +144,7 @@
                 body=b"".join(self._body),
                 keep_alive=self._parser.should_keep_alive(),
                 read_at_s=self._now_s,
+                accepts_chunks=self._parser.get_http_version() != VERSION_WITHOUT_CHUNKS,
             )
         )
 
--- a/src/cicadatiller/ingress/_request.py
+++ b/src/cicadatiller/ingress/_request.py
@@ -24,6 +24,7 @@
         headers: The header names as sent and their values, in order, including framing headers.
         body: The complete body without its chunk framing.
         keep_alive: Whether the caller allows further requests on the connection.
+        accepts_chunks: Whether the caller's HTTP version has chunked bodies.
         read_at_s: The loop time at which the last byte was read.
     """
 
@@ -33,6 +34,7 @@
     body: bytes
     keep_alive: bool
     read_at_s: float
+    accepts_chunks: bool = True
 
     @property
     def path(self) -> bytes:
--- a/src/cicadatiller/ingress/_response.py
+++ b/src/cicadatiller/ingress/_response.py
@@ -79,9 +79,13 @@
     )
 
 
-def render_stream_head(status: int, headers: Iterable[Header], *, close: bool) -> bytes:
-    """Return the head of a response whose body is sent in chunks."""
-    parts = [render_head(status, headers), b"Transfer-Encoding: chunked"]
+def render_stream_head(
+    status: int, headers: Iterable[Header], *, close: bool, is_chunked: bool
+) -> bytes:
+    """Return the head of a response whose body ends with the last chunk or the connection."""
+    parts = [render_head(status, headers)]
+    if is_chunked:
+        parts.append(b"Transfer-Encoding: chunked")
     if close:
         parts.append(b"Connection: close")
     return b"\r\n".join(parts) + b"\r\n\r\n"
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP/1.1 server."""
 
 import asyncio
+import unittest
 
 from cicadatiller.ingress import IngressLimits, IngressServer, Response
 
@@ -383,3 +384,92 @@
         self.assertLess(held, 12)
         self.assertEqual(sent, 100)
         self.assertTrue(caller.received.endswith(b"0\r\n\r\n"))
+
+
+class OldVersionTest(IngressCase):
+    """Callers of HTTP/1.0, which can't read chunks: the end of the connection ends a body."""
+
+    OLD_GET = GET.replace(b"HTTP/1.1", b"HTTP/1.0")
+
+    async def stream(self, request, responder):
+        await responder.start_stream(200, ())
+        await responder.send(b"one ")
+        await responder.send(b"two")
+        await responder.finish()
+
+    def test_stream_is_not_chunked_and_ends_with_the_connection(self):
+        for request in (self.OLD_GET, self.OLD_GET[:-2] + b"Connection: keep-alive\r\n\r\n"):
+            with self.subTest(request):
+
+                async def scenario(request=request):
+                    await self.serve(self.stream)
+                    return await self.call(request)
+
+                caller = self.run_paused(scenario())
+                head, _, body = caller.received.partition(b"\r\n\r\n")
+                self.assertNotIn(b"transfer-encoding", head.lower())
+                self.assertIn(b"Connection: close", head)
+                self.assertEqual(body, b"one two")
+                self.assertTrue(caller.closed)
+                self.assertFalse(caller.reset)
+
+    def test_stream_of_a_caller_that_can_read_chunks_stays_chunked(self):
+        async def scenario():
+            await self.serve(self.stream)
+            return await self.call(GET)
+
+        caller = self.run_paused(scenario())
+        self.assertTrue(caller.received.endswith(b"4\r\none \r\n3\r\ntwo\r\n0\r\n\r\n"))
+        self.assertFalse(caller.closed)
+
+
+class InterruptedOldStreamTest(unittest.IsolatedAsyncioTestCase):
+    """An unfinished stream without chunks has to be reset, on the sockets of the system."""
+
+    async def asyncSetUp(self):
+        self.finishing = asyncio.Event()
+        self.server = IngressServer(handler=self.stream)
+        self.port = await self.server.start("127.0.0.1", 0)
+
+    async def asyncTearDown(self):
+        self.server.close()
+        await asyncio.sleep(0)
+
+    async def stream(self, request, responder):
+        await responder.start_stream(200, ())
+        await responder.send(b"part")
+        if request.target == b"/failing":
+            await self.finishing.wait()
+            raise ValueError("broken")
+        await self.finishing.wait()
+        await responder.finish()
+
+    async def open_stream(self, target):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"GET %s HTTP/1.0\r\nHost: n\r\n\r\n" % target)
+        await reader.readuntil(b"part")
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_stream_that_fails_is_reset(self):
+        reader, _ = await self.open_stream(b"/failing")
+        self.finishing.set()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
+    async def test_stream_that_is_cut_off_at_shutdown_is_reset(self):
+        reader, _ = await self.open_stream(b"/")
+        self.server.close()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
+    async def test_stream_to_a_caller_that_closed_its_sending_side_is_reset(self):
+        reader, writer = await self.open_stream(b"/")
+        writer.write_eof()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
+    async def test_stream_that_ends_well_is_closed_without_a_reset(self):
+        reader, _ = await self.open_stream(b"/")
+        self.finishing.set()
+        self.assertEqual(await reader.read(), b"")
