A stream to a HEAD request sends no chunks

The chunks of a stream followed the head even if the method was HEAD; the caller then read them as its next response. The test failed before: chunks stood between the two heads.

--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -288,13 +288,13 @@
         self.closes = False
         self._connection = connection
         self._request = request
+        self._is_head_request = request.method == b"HEAD"
 
     async def answer(self, answer: Response) -> None:
         self._begin()
-        is_head_request = self._request.method == b"HEAD"
         self.is_complete = True
         await self._connection.write(
-            render_response(answer, close=self.closes, is_head_request=is_head_request)
+            render_response(answer, close=self.closes, is_head_request=self._is_head_request)
         )
 
     async def start_stream(self, status: int, headers: Iterable[Header]) -> None:
@@ -308,17 +308,16 @@
         )
 
     async def send(self, data: bytes) -> None:
-        if data:
-            await self._connection.write(
-                render_chunk(data) if self._request.accepts_chunks else data
-            )
+        if not data or self._is_head_request:
+            return
+        await self._connection.write(render_chunk(data) if self._request.accepts_chunks else data)
 
     async def finish(self) -> None:
         self.is_complete = True
-        if self._request.accepts_chunks:
-            await self._connection.write(LAST_CHUNK)
-        else:
+        if not self._request.accepts_chunks:
             self._connection.set_reset_on_close(False)
+        elif not self._is_head_request:
+            await self._connection.write(LAST_CHUNK)
 
     def abort(self) -> None:
         self._connection.abort()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -138,6 +138,19 @@
 
         self.assertEqual(self.run_paused(scenario()).statuses, [200] * 60)
 
+    def test_a_stream_to_a_head_request_has_no_body_that_the_next_response_could_follow(self):
+        async def scenario():
+            async def handler(request, responder):
+                await responder.start_stream(200, ())
+                await responder.send(b"part")
+                await responder.finish()
+
+            await self.serve(handler)
+            return await self.call(GET.replace(b"GET", b"HEAD") * 2)
+
+        head, _, rest = self.run_paused(scenario()).received.partition(b"\r\n\r\n")
+        self.assertEqual(rest, head + b"\r\n\r\n")
+
     def test_malformed_requests_get_400_and_a_close_and_are_not_handled(self):
         for name, data in MALFORMED.items():
             with self.subTest(name):
