Bound the open connections of callers

An entry accepted connections until it had no descriptors left, and then could open none to targets, peers and the store. It now keeps at most 2048 and closes further ones at once without reading them, so that callers know that nothing ran; event 213 logs each. The tests failed before: all were accepted.

--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -82,7 +82,7 @@
     Args:
         handler: Handles each request.
         limits: Returns the current limits.
-        on_open: Called with the connection once it is open.
+        on_open: Called with the connection once it is open; returns whether it may stay open.
         on_close: Called with the connection once it is closed.
 
     Attributes:
@@ -94,7 +94,7 @@
         *,
         handler: Handler,
         limits: Callable[[], IngressLimits],
-        on_open: Callable[["IngressConnection"], None],
+        on_open: Callable[["IngressConnection"], bool],
         on_close: Callable[["IngressConnection"], None],
     ) -> None:
         self.is_busy = False
@@ -116,11 +116,13 @@
         self._has_ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the task that handles requests."""
+        """Start the task that handles requests, or close if there are too many connections."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._on_open(self):
+            self.abort()
+            return
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        self._on_open(self)
         self._task = self._loop.create_task(self._serve())
         self._update_timer()
 
--- a/src/cicadatiller/ingress/_server.py
+++ b/src/cicadatiller/ingress/_server.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+from ..kernel import Event, log_event
 from ._connection import Handler, IngressConnection
 from ._limits import IngressLimits
 
 BACKLOG = 1024
+# Leaves half of the descriptors of a process, usually 4096, to targets, peers and the store.
+MAX_CONNECTIONS = 2048
 
 
 class IngressServer:
@@ -14,13 +17,23 @@
     Args:
         handler: Handles each request.
         limits: The initial limits; None for the defaults.
+        max_connections: How many connections may be open at once.
 
     Attributes:
         limits: The current limits; a connection applies new ones from its next request on.
+        max_connections: How many connections may be open at once; further ones are closed at once,
+            unread, so that their callers know that nothing ran.
     """
 
-    def __init__(self, *, handler: Handler, limits: IngressLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: IngressLimits | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         self.limits = limits or IngressLimits()
+        self.max_connections = max_connections
         self._handler = handler
         self._connections: set[IngressConnection] = set()
         self._server: asyncio.Server | None = None
@@ -71,9 +84,16 @@
         connection = IngressConnection(
             handler=self._handler,
             limits=lambda: self.limits,
-            on_open=self._connections.add,
+            on_open=self._admit,
             on_close=self._connections.discard,
         )
         if self._is_draining:
             connection.announce_close()
         return connection
+
+    def _admit(self, connection: IngressConnection) -> bool:
+        if len(self._connections) >= self.max_connections:
+            log_event(Event.CONNECTION_REFUSED, open=len(self._connections))
+            return False
+        self._connections.add(connection)
+        return True
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -32,6 +32,7 @@
     CALLER_REFUSED = (210, "info", "A caller's HTTP request was invalid, too large or too slow.")
     REQUEST_PLACED = (211, "info", "A request was assigned to its targets.")
     REQUEST_ABANDONED = (212, "info", "A caller disconnected before the end of its response.")
+    CONNECTION_REFUSED = (213, "warning", "Too many connections of callers; one was closed unread.")
     PEER_CONNECTED = (300, "info", "A peer connection was established.")
     PEER_LOST = (301, "warning", "A peer connection was lost or timed out.")
     PEER_REMOVED = (303, "warning", "A peer that was unreachable for long was removed.")
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -266,6 +266,48 @@
         self.assertEqual(self.run_paused(scenario()).statuses[-1], 413)
 
 
+class ConnectionBoundTest(IngressCase):
+    async def serve_at_most(self, count):
+        server = await self.serve()
+        server.max_connections = count
+        return server
+
+    def test_connections_above_the_bound_are_closed_at_once_and_the_others_are_served(self):
+        async def scenario():
+            server = await self.serve_at_most(2)
+            callers = await asyncio.gather(*(self.call(pause_s=0.1) for _ in range(5)))
+            await asyncio.sleep(0.1)
+            served = [caller for caller in callers if not caller.closed]
+            for caller in served:
+                caller.transport.write(GET)
+            await asyncio.sleep(0.1)
+            return server.open_connections, [caller.statuses for caller in callers]
+
+        open_connections, statuses = self.run_paused(scenario())
+        self.assertEqual(open_connections, 2)
+        self.assertEqual(sorted(statuses), [[], [], [], [200], [200]])
+        self.assertEqual(len(self.requests), 2)
+
+    def test_request_on_a_connection_above_the_bound_is_not_handled(self):
+        async def scenario():
+            await self.serve_at_most(0)
+            return await self.call(GET, pause_s=0.1)
+
+        caller = self.run_paused(scenario())
+        self.assertTrue(caller.closed)
+        self.assertEqual((caller.received, self.requests), (b"", []))
+
+    def test_a_connection_that_ends_makes_room_for_another_one(self):
+        async def scenario():
+            await self.serve_at_most(1)
+            first = await self.call(GET)
+            first.transport.close()
+            await asyncio.sleep(0.1)
+            return await self.call(GET)
+
+        self.assertEqual(self.run_paused(scenario()).statuses, [200])
+
+
 class ClosingTest(IngressCase):
     def test_the_handler_is_cancelled_when_the_caller_disconnects(self):
         for how in ("close", "abort"):
