--- a/src/cicadatiller/channels/_websocket.py
+++ b/src/cicadatiller/channels/_websocket.py
@@ -1,6 +1,7 @@
 """Channels over WebSocket."""
 
 import ssl
+from typing import Any
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -13,6 +14,14 @@
 DIAL_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
 SEND_BUFFER_BYTES = 1024 * 1024
+# Both ends keep the same limits; heartbeats of the links take the place of pings.
+OPTIONS: Any = {
+    "close_timeout": CLOSE_TIMEOUT_S,
+    "ping_interval": None,
+    "compression": None,
+    "max_size": MAX_FRAME_BYTES,
+    "write_limit": SEND_BUFFER_BYTES,
+}
 
 
 class _WebSocketChannel:
@@ -53,12 +62,8 @@
             f"{scheme}://{address}/peer",
             ssl=tls,
             open_timeout=DIAL_TIMEOUT_S,
-            close_timeout=CLOSE_TIMEOUT_S,
-            ping_interval=None,
-            compression=None,
             proxy=None,
-            max_size=MAX_FRAME_BYTES,
-            write_limit=SEND_BUFFER_BYTES,
+            **OPTIONS,
         )
     except (TimeoutError, OSError, InvalidHandshake, ConnectionClosed) as error:
         raise ChannelClosedError(f"cannot connect to {address}: {error}") from error
@@ -77,10 +82,6 @@
         host,
         port,
         ssl=tls,
-        close_timeout=CLOSE_TIMEOUT_S,
-        ping_interval=None,
-        compression=None,
-        max_size=MAX_FRAME_BYTES,
-        write_limit=SEND_BUFFER_BYTES,
+        **OPTIONS,
     )
     return _WebSocketListener(server)
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadatiller.fleet import Topic
+from cicadatiller.mesh import TopicRequest, TopicUpdate, Update
 
 from .support.gateways import GatewayFleet, configuration, route
 from .support.streams import NetworkCase
@@ -291,3 +292,15 @@
 
         offsets = self.run_scenario(scenario)
         self.assertEqual(set(offsets), {topic.value for topic in Topic})
+
+    def test_topics_of_newer_versions_are_ignored(self):
+        async def scenario(fleet):
+            sync = fleet.gateways[0].peer_sync
+            newer = TopicUpdate(topic="newer", next_offset=9, from_offset=3)
+            known = sync.known_offsets()
+            sync.apply_update("front-1", Update(news=(newer,), known_offsets={"newer": 9}))
+            return known, sync.known_offsets(), sync.topic_page(TopicRequest(topic="newer"))
+
+        known, known_after, page = self.run_scenario(scenario)
+        self.assertEqual(known, known_after)
+        self.assertIsNone(page)
