--- a/src/cicadatiller/placement/__init__.py
+++ b/src/cicadatiller/placement/__init__.py
@@ -2,18 +2,14 @@
 
 from ._board import LoadBoard, TargetLoad
 from ._calls import CallCandidate, place_call
+from ._candidate import Candidate
 from ._demand import Demand, expected_demand
 from ._engine import pass_s, read_s, write_s
-from ._policy import (
-    Candidate,
-    Placement,
-    ReservationShare,
-    Verdict,
-    evaluate_placement,
-    place_prompt,
-)
+from ._placement import Placement, ReservationShare
+from ._policy import place_prompt
 from ._prompt import Prompt
 from ._queue import Backlog, min_first_event_s, queue_sort_key
+from ._verdict import Verdict, evaluate_placement
 from ._work import Work
 
 __all__ = [
