--- a/tests/support/placement_simulation.py
+++ b/tests/support/placement_simulation.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from cicadatiller.placement import (
     Backlog,
@@ -26,120 +26,11 @@
     queue_sort_key,
     read_s,
 )
-from cicadatiller.routes import EngineModel
 
-RECHECK_S = 0.02
-ENGINE = EngineModel(
-    slots=8,
-    kv_capacity_tokens=232_000,
-    step_s=0.00102,
-    step_per_sequence_s=4.5e-6,
-    step_per_context_token_s=4.3e-9,
-    prefill_tokens_per_s=206_000.0,
-    prefill_pair_s=1.38e-10,
-    chunk_tokens=2048,
-    steps_per_pass=43,
-)
-
-
-@dataclass(frozen=True, kw_only=True)
-class PromptKind:
-    """A kind of request, with its arrival process and latency targets.
-
-    Attributes:
-        name: The name of the kind.
-        arrivals_per_s: The arrival rate.
-        mean_tokens: The mean prompt length; lengths have a log-normal distribution.
-        length_sigma: The standard deviation of the logarithm of the length.
-        max_tokens: The maximum prompt length.
-        events: The mean number of events of a response.
-        target_latency_s: The target for the time to first event.
-        max_gap_s: The longest event gap of a request that is on time.
-        worth: The value of a request that is on time.
-    """
-
-    name: str
-    arrivals_per_s: float
-    mean_tokens: float
-    length_sigma: float
-    max_tokens: int
-    events: int
-    target_latency_s: float
-    max_gap_s: float
-    worth: float
-
-
-@dataclass
-class SimulatedRequest:
-    """A request and its outcome.
-
-    Attributes:
-        entry: The number of the entry that it arrived at.
-        place_was_taken: Whether its target had no free slot when it arrived there.
-    """
-
-    kind: PromptKind
-    arrived_s: float
-    tokens: int
-    events: int
-    entry: int = 0
-    place_was_taken: bool = False
-    first_s: float | None = None
-    last_event_s: float = 0.0
-    longest_gap_s: float = 0.0
-    ended_s: float | None = None
-    refused: bool = False
-    caller_left: bool = False
-    waited_s: float = 0.0
-
-    @property
-    def on_time(self):
-        """Return whether the request met both latency targets, and so earned its whole worth."""
-        if self.ended_s is None or self.first_s is None:
-            return False
-        first_is_on_time = self.first_s - self.arrived_s <= self.kind.target_latency_s
-        return first_is_on_time and self.longest_gap_s <= self.kind.max_gap_s
+from .simulated_engines import ENGINE, SimulatedEngine, SimulatedPrefill, SimulatedWriter
+from .simulated_requests import SimulatedRequest, patience_s
 
-
-@dataclass
-class _Prefill:
-    work_id: str
-    tokens: int
-    done: float = 0.0
-    is_gang_part: bool = False
-
-
-@dataclass
-class _Writer:
-    """A request that is decoding."""
-
-    work_id: str
-    request: SimulatedRequest
-    context: int
-    remaining_events: int
-
-
-@dataclass
-class SimulatedEngine:
-    """The state of one engine.
-
-    Attributes:
-        name: The engine's target id.
-        prefills: The parts of prompts that wait for prefill or are in prefill, in this order.
-        writers: The requests that are decoding.
-        hosted: The work ids of the requests that occupy a slot.
-        queue: The requests that wait for a slot, as (work id, part in tokens, whether in a gang).
-        is_running: Whether a pass is in progress.
-        pace: Slowdown factor against the engine model.
-    """
-
-    name: str
-    hosted: set = field(default_factory=set)
-    queue: list = field(default_factory=list)
-    prefills: list = field(default_factory=list)
-    writers: list = field(default_factory=list)
-    is_running: bool = False
-    pace: float = 1.0
+RECHECK_S = 0.02
 
 
 class PlacementSimulation:
@@ -400,7 +291,7 @@
             self._add_prefill(engine, queued_id, part, is_gang_part=is_gang_part)
 
     def _add_prefill(self, engine, work_id, tokens, *, is_gang_part):
-        prefill = _Prefill(work_id, tokens, is_gang_part=is_gang_part)
+        prefill = SimulatedPrefill(work_id, tokens, is_gang_part=is_gang_part)
         if is_gang_part:
             place = sum(1 for other in engine.prefills if other.is_gang_part)
             engine.prefills.insert(place, prefill)
@@ -478,11 +369,6 @@
         if request.caller_left:
             return
         host = self.engines[self._placements[work_id].host_id]
-        host.writers.append(_Writer(work_id, request, request.tokens, request.events))
+        host.writers.append(SimulatedWriter(work_id, request, request.tokens, request.events))
         if not host.is_running:
             self._run_pass(host)
-
-
-def patience_s(kind):
-    """Return how long a caller waits for its first event before it leaves."""
-    return max(2.0, 4 * kind.target_latency_s, 8 * kind.max_gap_s)
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -10,7 +10,8 @@
 from cicadatiller.placement import TargetLoad
 
 from .support.placement_baselines import share_of_worth, share_on_time
-from .support.placement_simulation import ENGINE, PlacementSimulation
+from .support.placement_simulation import PlacementSimulation
+from .support.simulated_engines import ENGINE
 from .test_placement import HUGE, MIDDLE, SHORT, mostly_long, mostly_short
 from .test_subset import make_directory
 
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -15,7 +15,7 @@
 from cicadatiller.routes import Route, RouteKind, Service, Split
 
 from .support.paused_loop import PausedCase
-from .support.placement_simulation import ENGINE
+from .support.simulated_engines import ENGINE
 
 PROMPTS = "prompts"
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -24,7 +24,9 @@
 )
 
 from .support.placement_baselines import least_in_flight, share_of_worth, share_on_time
-from .support.placement_simulation import ENGINE, PlacementSimulation, PromptKind
+from .support.placement_simulation import PlacementSimulation
+from .support.simulated_engines import ENGINE
+from .support.simulated_requests import PromptKind
 from .support.wire import MAX_LISTED_ENGINES
 
 SHORT = PromptKind(
