--- a/tests/support/cells.py
+++ b/tests/support/cells.py
@@ -8,18 +8,11 @@
 from cicadatiller.kernel import FailureError, RunState
 from cicadatiller.standins import EngineModel, expected_answer
 
-from .faults import (
-    BYSTANDER,
-    LOST_REPLIES,
-    QUEUE_POLICY,
-    ROUTING_POLICY,
-    Fault,
-    FaultInjector,
-    Step,
-    Trigger,
-)
+from .faults import LOST_REPLIES, Fault, FaultInjector
 from .fleet import Fleet, Outcome
+from .observed_policies import QUEUE_POLICY, ROUTING_POLICY
 from .paused_loop import PausedCase
+from .triggers import BYSTANDER, Step, Trigger
 
 MARKER = "the weekend order"
 TOKENS = 16
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,7 +14,7 @@
 from cicadatiller.targets import StreamStatus, TargetUnreachableError
 
 from .support import Fleet, Outcome, PausedCase
-from .support.faults import QUEUE_POLICY, ObservedQueue
+from .support.observed_policies import QUEUE_POLICY, ObservedQueue
 
 LONG = 400
 HELD = "h" * 100
