Peer messages: base classes for what messages of one exchange share

The number of the exchange, the load of a reply and the request with its workspace were declared and described in up to 20 classes. The frames of all 21 kinds are byte for byte those from before.

--- a/src/cicadatiller/peer/_connection.py
+++ b/src/cicadatiller/peer/_connection.py
@@ -10,6 +10,7 @@
 from ._call import PeerCall, PeerLostError
 from ._config_messages import ConfigRecords, FollowConfig
 from ._connection_messages import Leave, Ping, Pong, Welcome
+from ._exchanges import ExchangeMessage
 from ._request_messages import Accepted, Failed, Finished, Tokens
 
 _STREAM_FRAMES = (Accepted, Tokens, Finished)
@@ -217,9 +218,8 @@
         if isinstance(message, ConfigRecords):
             self._on_config(message)
             return
-        call = self._calls.get(getattr(message, "call", 0))
-        if call is not None:
-            call.put(message)
+        if isinstance(message, ExchangeMessage) and message.call in self._calls:
+            self._calls[message.call].put(message)
 
     async def _run_heartbeat(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/cicadatiller/peer/_connection_messages.py
+++ b/src/cicadatiller/peer/_connection_messages.py
@@ -4,6 +4,7 @@
 
 from ..channels import message
 from ._bodies import LoadReport
+from ._exchanges import ExchangeMessage
 
 
 @message("challenge")
@@ -70,7 +71,5 @@
 
 @message("leave")
 @dataclass(frozen=True, kw_only=True)
-class Leave:
+class Leave(ExchangeMessage):
     """Stops the replies to an exchange; its request continues to run. There is no reply."""
-
-    call: int
--- a/src/cicadatiller/peer/_gang_messages.py
+++ b/src/cicadatiller/peer/_gang_messages.py
@@ -1,25 +1,23 @@
 """Messages with which a sidecar uses other sidecars' engines to prefill one long prompt."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..channels import message
-from ._bodies import LoadReport
+from ._exchanges import ExchangeMessage, ReplyWithLoad
 from ._request_messages import GenerateWork
 
 
 @message("reserve")
 @dataclass(frozen=True, kw_only=True)
-class Reserve:
+class Reserve(ExchangeMessage):
     """Reserves or renews a hold of KV memory for a gang; the reply is `Reserved` or `Failed`.
 
     Attributes:
-        call: The number of the exchange on this connection.
         hold_id: The id of the hold, chosen by the coordinator.
         kv_tokens: The size of the hold in tokens of KV memory.
         ttl_s: The hold expires after this time unless another `Reserve` renews it.
     """
 
-    call: int
     hold_id: str
     kv_tokens: int
     ttl_s: float
@@ -27,18 +25,14 @@
 
 @message("reserved")
 @dataclass(frozen=True, kw_only=True)
-class Reserved:
+class Reserved(ReplyWithLoad):
     """Confirms that the memory is held.
 
     Attributes:
-        call: The number of the exchange on this connection.
         engine_address: The address where other engines fetch exports of the sender's engine.
-        load: The load of the sender's target.
     """
 
-    call: int
     engine_address: str
-    load: LoadReport = field(default_factory=LoadReport)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -60,11 +54,10 @@
 
 @message("prefill")
 @dataclass(frozen=True, kw_only=True)
-class Prefill:
+class Prefill(ExchangeMessage):
     """Prefills one segment and keeps it as an export; the reply is `Prefilled`.
 
     Attributes:
-        call: The number of the exchange on this connection.
         hold_id: The hold whose memory is used.
         work: The generation with the whole prompt.
         segment: The segment to prefill; its `engine_address` is the receiver's engine.
@@ -72,7 +65,6 @@
         budget_s: The remaining time.
     """
 
-    call: int
     hold_id: str
     work: GenerateWork
     segment: SegmentRef
@@ -82,41 +74,23 @@
 
 @message("prefilled")
 @dataclass(frozen=True, kw_only=True)
-class Prefilled:
-    """Confirms that the segment is in the engine's memory.
-
-    Attributes:
-        call: The number of the exchange on this connection.
-        load: The load of the sender's target.
-    """
-
-    call: int
-    load: LoadReport = field(default_factory=LoadReport)
+class Prefilled(ReplyWithLoad):
+    """Confirms that the segment is in the engine's memory."""
 
 
 @message("release")
 @dataclass(frozen=True, kw_only=True)
-class Release:
+class Release(ExchangeMessage):
     """Releases a hold with its memory and exports; the reply is `Released`. Idempotent.
 
     Attributes:
-        call: The number of the exchange on this connection.
         hold_id: The hold, as in `Reserve`.
     """
 
-    call: int
     hold_id: str
 
 
 @message("released")
 @dataclass(frozen=True, kw_only=True)
-class Released:
-    """Confirms that the hold is released.
-
-    Attributes:
-        call: The number of the exchange on this connection.
-        load: The load of the sender's target.
-    """
-
-    call: int
-    load: LoadReport = field(default_factory=LoadReport)
+class Released(ReplyWithLoad):
+    """Confirms that the hold is released."""
