--- a/src/cicadatiller/peer/__init__.py
+++ b/src/cicadatiller/peer/__init__.py
@@ -1,30 +1,13 @@
 """Messages and connections between entries and sidecars."""
 
-from ._bodies import (
-    FailureBody,
-    LoadReport,
-    WorkspaceUse,
-)
+from ._bodies import FailureBody, LoadReport, WorkspaceUse
 from ._call import PeerCall, PeerLostError
-from ._checksum import (
-    AnswerChecksum,
-    checksum_bytes,
-)
-from ._config_messages import (
-    ConfigRecord,
-    ConfigRecords,
-    FollowConfig,
-)
+from ._checksum import AnswerChecksum, checksum_bytes
+from ._config_messages import ConfigRecord, ConfigRecords, FollowConfig
 from ._connection import PeerConnection, PeerTiming
-from ._connection_messages import (
-    Challenge,
-    Hello,
-    Leave,
-    Ping,
-    Pong,
-    Welcome,
-)
+from ._connection_messages import Challenge, Hello, Leave, Ping, Pong, Welcome
 from ._dial import dial_peer
+from ._expect import expect_message
 from ._gang_messages import (
     Prefill,
     Prefilled,
@@ -53,10 +36,7 @@
     Tokens,
     Tombstone,
 )
-from ._server import (
-    PeerServer,
-    PeerService,
-)
+from ._server import PeerServer, PeerService
 
 __all__ = [
     "Accepted",
@@ -104,4 +84,5 @@
     "WorkspaceUse",
     "checksum_bytes",
     "dial_peer",
+    "expect_message",
 ]
--- a/src/cicadatiller/peer/_dial.py
+++ b/src/cicadatiller/peer/_dial.py
@@ -11,6 +11,7 @@
 from ._config_messages import ConfigRecords
 from ._connection import PeerConnection, PeerTiming
 from ._connection_messages import Challenge, Hello, Welcome
+from ._expect import expect_message
 from ._proof import compute_proof, is_valid_proof, new_nonce
 
 
@@ -75,19 +76,13 @@
 
 
 async def _handshake(channel: Channel, secret: str, hello: Hello) -> Welcome:
-    challenge = decode(await channel.receive())
-    if not isinstance(challenge, Challenge):
-        raise fail(
-            ErrorKind.PEER_PROTOCOL,
-            f"expected a challenge as the first frame, got {type(challenge).__name__}",
-        )
+    challenge = expect_message(
+        decode(await channel.receive()), Challenge, "a challenge as the first frame"
+    )
     await channel.send(encode(replace(hello, proof=compute_proof(secret, challenge.nonce))))
-    welcome = decode(await channel.receive())
-    if not isinstance(welcome, Welcome):
-        raise fail(
-            ErrorKind.PEER_PROTOCOL,
-            f"expected a welcome in reply to the hello, got {type(welcome).__name__}",
-        )
+    welcome = expect_message(
+        decode(await channel.receive()), Welcome, "a welcome in reply to the hello"
+    )
     if not is_valid_proof(welcome.proof, secret, hello.nonce):
         raise fail(
             ErrorKind.UNAUTHENTICATED,
--- a/src/cicadatiller/peer/_server.py
+++ b/src/cicadatiller/peer/_server.py
@@ -3,36 +3,16 @@
 import asyncio
 from typing import Protocol
 
-from ..channels import (
-    Channel,
-    ChannelClosedError,
-    Listener,
-    Transport,
-    decode,
-    encode,
-)
+from ..channels import Channel, ChannelClosedError, Listener, Transport, decode, encode
 from ..kernel import ErrorKind, Event, FailureError, TaskSet, fail, log_event
-from ._bodies import (
-    FailureBody,
-    LoadReport,
-)
-from ._config_messages import (
-    ConfigRecords,
-)
+from ._bodies import FailureBody, LoadReport
+from ._config_messages import ConfigRecords
 from ._connection import PeerTiming
-from ._connection_messages import (
-    Challenge,
-    Hello,
-    Leave,
-    Ping,
-    Pong,
-    Welcome,
-)
+from ._connection_messages import Challenge, Hello, Leave, Ping, Pong, Welcome
+from ._expect import expect_message
 from ._link import PeerLink
 from ._proof import compute_proof, is_valid_proof, new_nonce
-from ._request_messages import (
-    Failed,
-)
+from ._request_messages import Failed
 
 
 class PeerService(Protocol):
@@ -129,12 +109,7 @@
     async def _handshake(self, channel: Channel) -> PeerLink:
         nonce = new_nonce()
         await channel.send(encode(Challenge(nonce=nonce)))
-        hello = decode(await channel.receive())
-        if not isinstance(hello, Hello):
-            raise fail(
-                ErrorKind.PEER_PROTOCOL,
-                f"expected a hello as the first frame, got {type(hello).__name__}",
-            )
+        hello = expect_message(decode(await channel.receive()), Hello, "a hello as the first frame")
         if not is_valid_proof(hello.proof, self._secret, nonce):
             raise fail(
                 ErrorKind.UNAUTHENTICATED,
--- a/src/cicadatiller/sidecar/_gang.py
+++ b/src/cicadatiller/sidecar/_gang.py
@@ -5,13 +5,14 @@
 from dataclasses import dataclass
 
 from ..kernel import ErrorKind, Event, FailureError, log_event
-from ..peer import GenerateWork, SegmentRef
+from ..peer import GenerateWork, Prefill, SegmentRef
 from ._gang_handles import MemberHandle
 from ._segments import PromptShare
 
 HOLD_TTL_S = 6.0
 RENEW_INTERVAL_S = 1.0
 RESERVE_RETRY_DELAY_S = 0.1
+NO_EXCHANGE = 0
 
 
 class GangLostError(Exception):
@@ -81,9 +82,16 @@
                 first_token=member.share.first_token,
                 token_count=member.share.token_count,
             )
-            budget_s = max(0.0, deadline_s - asyncio.get_running_loop().time())
+            order = Prefill(
+                call=NO_EXCHANGE,
+                hold_id=self._gang_id,
+                work=work,
+                segment=segment,
+                before=tuple(done),
+                budget_s=max(0.0, deadline_s - asyncio.get_running_loop().time()),
+            )
             try:
-                await member.handle.prefill(self._gang_id, work, segment, tuple(done), budget_s)
+                await member.handle.prefill(order)
             except FailureError as error:
                 raise GangLostError(str(error)) from error
             done.append(segment)
--- a/src/cicadatiller/sidecar/_gang_handles.py
+++ b/src/cicadatiller/sidecar/_gang_handles.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from ..kernel import ErrorKind, fail
 from ..peer import (
-    GenerateWork,
     PeerConnection,
     PeerLostError,
     Prefill,
@@ -14,7 +14,7 @@
     Release,
     Reserve,
     Reserved,
-    SegmentRef,
+    expect_message,
 )
 from ._gang_member import GangMember
 from ._peers import ASK_TIMEOUT_S, SidecarPeers
@@ -30,15 +30,8 @@
     async def reserve(self, hold_id: str, kv_tokens: int, ttl_s: float) -> str:
         """Reserve memory, or renew a hold; return the engine's address."""
 
-    async def prefill(
-        self,
-        hold_id: str,
-        work: GenerateWork,
-        segment: SegmentRef,
-        before: tuple[SegmentRef, ...],
-        budget_s: float,
-    ) -> None:
-        """Make the member prefill a segment."""
+    async def prefill(self, order: Prefill) -> None:
+        """Make the member prefill a segment; the `call` of the order is ignored."""
 
     async def release(self, hold_id: str) -> None:
         """End a hold."""
@@ -54,14 +47,7 @@
         """Reserve memory, or renew a hold; return the engine's address."""
         return self._member.reserve(hold_id, kv_tokens, ttl_s, is_coordinator=True)
 
-    async def prefill(
-        self,
-        hold_id: str,
-        work: GenerateWork,
-        segment: SegmentRef,
-        before: tuple[SegmentRef, ...],
-        budget_s: float,
-    ) -> None:
+    async def prefill(self, order: Prefill) -> None:
         """Do nothing: the decoding stream prefills the last segment itself."""
 
     async def release(self, hold_id: str) -> None:
@@ -88,38 +74,13 @@
             lambda call: Reserve(call=call, hold_id=hold_id, kv_tokens=kv_tokens, ttl_s=ttl_s),
             ASK_TIMEOUT_S,
         )
-        if not isinstance(reply, Reserved):
-            raise fail(
-                ErrorKind.PEER_PROTOCOL,
-                f"expected Reserved from {self._address}, received {type(reply).__name__}",
-            )
-        return reply.engine_address
-
-    async def prefill(
-        self,
-        hold_id: str,
-        work: GenerateWork,
-        segment: SegmentRef,
-        before: tuple[SegmentRef, ...],
-        budget_s: float,
-    ) -> None:
-        """Make the member prefill a segment."""
-        reply = await self._request(
-            lambda call: Prefill(
-                call=call,
-                hold_id=hold_id,
-                work=work,
-                segment=segment,
-                before=before,
-                budget_s=budget_s,
-            ),
-            budget_s,
-        )
-        if not isinstance(reply, Prefilled):
-            raise fail(
-                ErrorKind.PEER_PROTOCOL,
-                f"expected Prefilled from {self._address}, received {type(reply).__name__}",
-            )
+        reserved = expect_message(reply, Reserved, f"Reserved from {self._address}")
+        return reserved.engine_address
+
+    async def prefill(self, order: Prefill) -> None:
+        """Make the member prefill a segment; the `call` of the order is ignored."""
+        reply = await self._request(lambda call: replace(order, call=call), order.budget_s)
+        expect_message(reply, Prefilled, f"Prefilled from {self._address}")
 
     async def release(self, hold_id: str) -> None:
         """End a hold."""
