A prompt is not too large while an engine is down, loads its model or is not known yet

A prompt that needs several engines was refused as TOO_LARGE, NOT_RUN, final, while one of them was restarted or had not loaded the model: counted only engines without a report, but a sidecar whose engine is down reports no models, and one that has not reached its engine yet reports no capacity. The host of a gang refused in the same way, and also before it had read the list of instances. Both now count what the listed engines can hold once they serve the model, within its replicas, and answer NO_TARGET with a time to come back if that is enough.

--- a/src/cicadatiller/entry/_dispatch.py
+++ b/src/cicadatiller/entry/_dispatch.py
@@ -8,6 +8,7 @@
 from ..config import ConfigStore, Deployment, PolicyWeights
 from ..kernel import ErrorKind, fail
 from ..membership import InstanceView, Target, eject_slow, usable_targets
+from ._capacity import can_hold_later, gang_capacity_tokens, is_capacity_unknown
 from ._estimate import RequestSize
 from ._requests import WorkRequest
 from ._routing import RouteQuery, RoutingPolicy, routing_registry
@@ -61,7 +62,7 @@
         ]
         if not serving and self.on_missing is not None:
             self.on_missing(deployment, request.service or request.model)
-        large_enough = self._large_enough(serving, request, deployment)
+        large_enough = self._large_enough(serving, request, deployment, version)
         untried = [target for target in large_enough if target.address not in tried]
         now_s = asyncio.get_running_loop().time()
         eject_slow(large_enough, now_s)
@@ -127,32 +128,27 @@
         return target
 
     def _large_enough(
-        self, serving: list[Target], request: WorkRequest, deployment: str
+        self, serving: list[Target], request: WorkRequest, deployment: str, version: str
     ) -> list[Target]:
         """Return the targets that can hold a request, alone or as members of a gang.
 
-        It is too large only if all listed engines together can't hold it. Engines that this entry
-        has no report of yet are taken to be as large as the largest known one.
+        It is too large only if all engines that may come to serve it can't hold it together. What
+        this entry lacks for a moment, such as the report of an engine, is no reason to refuse it
+        for good.
         """
         size = size_of(request)
         fitting = [target for target in serving if _fits(target, size)]
         if fitting or not serving:
             return fitting
-        gang_members = [t for t in serving if t.load is not None and t.load.supports_gang]
-        gang_capacity_tokens = sum(
-            t.load.kv_capacity_tokens for t in gang_members if t.load is not None
-        )
-        if self._settings(deployment).allow_gangs and gang_capacity_tokens >= size.kv_tokens:
-            return gang_members
-        unknown = self._count_unknown_engines(deployment)
-        largest_tokens = max(t.load.kv_capacity_tokens for t in serving if t.load is not None)
-        possible_tokens = gang_capacity_tokens + unknown * largest_tokens
-        may_fit = largest_tokens >= size.kv_tokens or self._settings(deployment).allow_gangs
-        if unknown and may_fit and possible_tokens >= size.kv_tokens:
+        allow_gangs = self._settings(deployment).allow_gangs
+        if allow_gangs and gang_capacity_tokens(serving) >= size.kv_tokens:
+            return [t for t in serving if t.load is not None and t.load.supports_gang]
+        pending = self._pending_engines(serving, request, deployment, version)
+        if can_hold_later(size, serving, pending, allow_gangs=allow_gangs):
             raise fail(
                 ErrorKind.NO_TARGET,
-                f"the engines known so far can't hold {size.kv_tokens} tokens, and {unknown} have "
-                "not reported yet; try again later",
+                f"the engines that serve {request.model!r} now can't hold {size.kv_tokens} tokens, "
+                f"and {len(pending)} more may serve it soon; try again later",
                 retry_after_s=NO_TARGET_RETRY_S,
             )
         raise fail(
@@ -161,14 +157,28 @@
             "shorten the prompt",
         )
 
-    def _count_unknown_engines(self, deployment: str) -> int:
-        return sum(
-            target.load is None
+    def _pending_engines(
+        self, serving: list[Target], request: WorkRequest, deployment: str, version: str
+    ) -> list[Target]:
+        """Return the engines that may serve a request soon: unknown ones, and ones without its model.
+
+        Engines without the model load it only if it is configured in this version, and no more of
+        them than it may have replicas.
+        """
+        others = [
+            target
+            for target in self._view.targets()
+            if target not in serving
             and not target.leaving
             and target.instance.deployment == deployment
             and target.instance.kind is InstanceKind.ENGINE
-            for target in self._view.targets()
-        )
+        ]
+        model = self._store.state.model(request.model)
+        if model is None or model.version != version:
+            others = [target for target in others if is_capacity_unknown(target)]
+        if model is not None and model.replicas:
+            others = others[: max(0, model.replicas - len(serving))]
+        return others
 
     def _settings(self, deployment: str) -> Deployment:
         return self._store.state.deployment(deployment) or Deployment()
@@ -190,7 +200,7 @@
 
 
 def _fits(target: Target, size: RequestSize) -> bool:
-    if target.load is None or target.load.kv_capacity_tokens == 0:
+    if target.load is None or is_capacity_unknown(target):
         return True
     return size.kv_tokens <= target.load.kv_capacity_tokens
 
--- a/src/cicadatiller/sidecar/_gang_coordinator.py
+++ b/src/cicadatiller/sidecar/_gang_coordinator.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 from ..config import ConfigStore
 from ..kernel import ErrorKind, FailureError, RequestState, RunState, TaskSet, fail
@@ -157,25 +157,21 @@
 
     async def _form_gang(self, gang_id: str, work: GenerateWork) -> Gang:
         host = MemberMemory(address=self._address, capacity_tokens=self._capacity())
-        candidates: list[MemberMemory] = []
+        found = _FoundMembers()
         shares: tuple[PromptShare, ...] | None = None
-        unreachable = 0
         for batch in self._peers.batches():
-            members, lost = await self._query_members(batch, _model_name(work))
-            candidates.extend(members)
-            candidates.sort(key=lambda member: -member.free_tokens)
-            unreachable += lost
-            shares = split_prompt(
-                work.prompt_tokens, work.max_output_tokens, host, tuple(candidates)
-            )
-            if shares is not None and _have_free_memory(shares, candidates):
+            await self._query_members(batch, _model_name(work), found)
+            found.ready.sort(key=lambda member: -member.free_tokens)
+            shares = _split(work, host, found.ready)
+            if shares is not None and _have_free_memory(shares, found.ready):
                 break
         if shares is not None:
             return self._make_gang(gang_id, shares)
-        if unreachable:
+        may_fit_soon = _split(work, host, found.ready + found.pending) is not None
+        if found.unknown or may_fit_soon or not self._peers.has_list:
             raise fail(
                 ErrorKind.NO_TARGET,
-                f"too few engines are reachable for a prompt of {work.prompt_tokens} tokens",
+                f"too few engines are available for a prompt of {work.prompt_tokens} tokens",
                 retry_after_s=1.0,
             )
         raise fail(
@@ -184,24 +180,20 @@
         )
 
     async def _query_members(
-        self, batch: tuple[str, ...], model: str
-    ) -> tuple[list[MemberMemory], int]:
+        self, batch: tuple[str, ...], model: str, found: "_FoundMembers"
+    ) -> None:
+        """Add the engines of a batch of sidecars to those found."""
         loads = await asyncio.gather(*(self._peers.load(address) for address in batch))
-        members = []
-        unreachable = 0
         for address, load in zip(batch, loads, strict=True):
-            if load is None:
-                unreachable += 1
-            elif load.supports_gang and not load.leaving and model in load.loaded:
-                free = load.kv_capacity_tokens - load.kv_used_tokens
-                members.append(
-                    MemberMemory(
-                        address=address,
-                        capacity_tokens=load.kv_capacity_tokens,
-                        free_tokens=free,
-                    )
+            if load is None or load.kv_capacity_tokens == 0:
+                found.unknown += 1
+            elif load.supports_gang and not load.leaving:
+                member = MemberMemory(
+                    address=address,
+                    capacity_tokens=load.kv_capacity_tokens,
+                    free_tokens=load.kv_capacity_tokens - load.kv_used_tokens,
                 )
-        return members, unreachable
+                (found.ready if model in load.loaded else found.pending).append(member)
 
     def _make_gang(self, gang_id: str, shares: tuple[PromptShare, ...]) -> Gang:
         return Gang(
@@ -221,6 +213,27 @@
         return 0 if self._driver.info is None else self._driver.info.kv_capacity_tokens
 
 
+@dataclass
+class _FoundMembers:
+    """What a search for members found.
+
+    Attributes:
+        ready: The engines that serve the model.
+        pending: The engines that do not serve it now, such as one that was restarted.
+        unknown: The number of engines whose sidecar did not reply or lacks its engine.
+    """
+
+    ready: list[MemberMemory] = field(default_factory=list)
+    pending: list[MemberMemory] = field(default_factory=list)
+    unknown: int = 0
+
+
+def _split(
+    work: GenerateWork, host: MemberMemory, members: list[MemberMemory]
+) -> tuple[PromptShare, ...] | None:
+    return split_prompt(work.prompt_tokens, work.max_output_tokens, host, tuple(members))
+
+
 def _have_free_memory(shares: tuple[PromptShare, ...], members: list[MemberMemory]) -> bool:
     """Return whether each member has enough free memory for its share."""
     free = {member.address: member.free_tokens for member in members}
--- a/src/cicadatiller/sidecar/_peers.py
+++ b/src/cicadatiller/sidecar/_peers.py
@@ -56,6 +56,11 @@
         if listed:
             self._instances = listed
 
+    @property
+    def has_list(self) -> bool:
+        """Return whether the platform's list of instances is known."""
+        return bool(self._instances)
+
     def batches(self) -> tuple[tuple[str, ...], ...]:
         """Return batches of the addresses to dial, sidecars for long work first."""
         others = [
