A sidecar forgets the addresses of sidecars that it no longer uses

The lock and the list of load requests of each address ever dialled stayed, in a process that runs for weeks while instances are replaced. The test failed before: five of each were left.

Entries check the replies to their commands with the same function as the other peers.

--- a/src/cicadatiller/entry/_commands.py
+++ b/src/cicadatiller/entry/_commands.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-from ..kernel import ErrorKind, fail
-from ..peer import Cancel, GetState, Open, Opened, StateReply, Tombstone
+from ..peer import Cancel, GetState, Open, Opened, StateReply, Tombstone, expect_message
 from ._peers import PeerPool
 
 ASK_TIMEOUT_S = 2.0
@@ -25,11 +24,7 @@
     async def open(self, address: str, workspace: str) -> str:
         """Issue a request id."""
         reply = await self._ask(address, lambda call: Open(call=call, workspace=workspace))
-        if not isinstance(reply, Opened):
-            raise fail(
-                ErrorKind.PEER_PROTOCOL, f"the sidecar replied to Open with {type(reply).__name__}"
-            )
-        return reply.request_id
+        return expect_message(reply, Opened, "Opened in reply to Open").request_id
 
     async def cancel(self, address: str, request_id: str, workspace: str) -> StateReply:
         """End a request, whether it is queued or runs, and return its state."""
@@ -50,12 +45,7 @@
         )
 
     async def _ask_state(self, address: str, make: Callable[[int], object]) -> StateReply:
-        reply = await self._ask(address, make)
-        if not isinstance(reply, StateReply):
-            raise fail(
-                ErrorKind.PEER_PROTOCOL, f"the sidecar sent an unexpected {type(reply).__name__}"
-            )
-        return reply
+        return expect_message(await self._ask(address, make), StateReply, "a StateReply")
 
     async def _ask(self, address: str, make: Callable[[int], object]) -> object:
         connection = await self._pool.get(address)
--- a/src/cicadatiller/sidecar/_peers.py
+++ b/src/cicadatiller/sidecar/_peers.py
@@ -92,6 +92,8 @@
             return None
         finally:
             self._load_requests[address].remove(reply)
+            if not self._load_requests[address]:
+                del self._load_requests[address]
 
     async def get(self, address: str) -> PeerConnection:
         """Return an open connection, dialled if there is none; raises `PeerLostError`."""
@@ -116,8 +118,9 @@
         """
         now_s = asyncio.get_running_loop().time()
         for address, used_s in list(self._last_used_s.items()):
-            if now_s - used_s > IDLE_CLOSE_S:
+            if now_s - used_s > IDLE_CLOSE_S and not self._locks[address].locked():
                 del self._last_used_s[address]
+                del self._locks[address]
                 await self.drop(address)
 
     async def close(self) -> None:
@@ -138,6 +141,6 @@
         )
 
     def _record_load(self, address: str, load: LoadReport) -> None:
-        for reply in self._load_requests[address]:
+        for reply in self._load_requests.get(address, ()):
             if not reply.done():
                 reply.set_result(load)
--- a/tests/test_sidecar_peers.py
+++ b/tests/test_sidecar_peers.py
@@ -1,9 +1,11 @@
 """Requests of a sidecar for the load of another one."""
 
 import asyncio
+import functools
 
-from cicadatiller.peer import LoadReport
-from cicadatiller.sidecar._peers import ASK_TIMEOUT_S, SidecarPeers
+from cicadatiller.peer import LoadReport, PeerTiming
+from cicadatiller.sidecar._peers import ASK_TIMEOUT_S, IDLE_CLOSE_S, SidecarPeers
+from cicadatiller.standins import MemoryNetwork
 
 from .support.paused_loop import PausedCase
 
@@ -32,8 +34,8 @@
             address="10.0.0.1:9100",
             deployment="north",
             secret="s",
-            transport=None,
-            timing=None,
+            transport=MemoryNetwork().bind("a"),
+            timing=PeerTiming(),
             store=FakeStore(),
         )
         self.connection = SilentConnection()
@@ -75,3 +77,17 @@
         load, taken_s = self.run_paused(scenario())
         self.assertIsNone(load)
         self.assertAlmostEqual(taken_s, ASK_TIMEOUT_S)
+
+    def test_sidecars_that_are_not_used_any_more_are_forgotten(self):
+        async def scenario():
+            peers = PeersWithoutNetwork()
+            peers.get = functools.partial(SidecarPeers.get, peers)
+            for number in range(5):
+                await peers.load(f"10.0.0.{number}:9100")
+            await asyncio.sleep(IDLE_CLOSE_S + 1)
+            await peers.close_idle()
+            return {
+                name: len(value) for name, value in vars(peers).items() if hasattr(value, "keys")
+            }
+
+        self.assertEqual(set(self.run_paused(scenario()).values()), {0})
