A sidecar drops the errors of orders once its engine serves what it should

The error of an order that loads no weights, such as one for an adapter that the engine refuses, stayed in the load report after the adapter was no longer configured, as only a later order of that kind would have removed it. The test failed before: 'order: invalid: the weights are damaged' stayed.

--- a/src/cicadatiller/sidecar/_orders.py
+++ b/src/cicadatiller/sidecar/_orders.py
@@ -129,6 +129,9 @@
         step = await self._next_step(plan, info)
         if step is not None:
             await self._send_step(step, info)
+        elif plan.is_reached(info.loaded):
+            self.errors.clear()
+            self._backoffs.clear()
 
     def _forget_unwanted(self, plan: Plan) -> None:
         """Drop the errors of models that are not to be loaded any more."""
--- a/src/cicadatiller/sidecar/_orders_plan.py
+++ b/src/cicadatiller/sidecar/_orders_plan.py
@@ -39,6 +39,10 @@
     wanted: tuple[WantedModel, ...]
     elsewhere: tuple[WantedModel, ...]
 
+    def is_reached(self, loaded: tuple[ModelRef, ...]) -> bool:
+        """Return whether the engine serves exactly the models that it should."""
+        return set(loaded) == {ref for item in self.wanted for ref in item.refs}
+
     def find(self, name: str) -> WantedModel | None:
         """Return a model of the deployment, or None if it has no such model."""
         models = self.wanted + self.elsewhere
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -17,18 +17,22 @@
 
 
 class RecordingEngine(EngineStandin):
-    """Records its orders, and refuses to load the versions in `bad_versions`."""
+    """Records its orders; refuses the versions in `bad_versions` and adapters in `bad_adapters`."""
 
     def __init__(self, **arguments):
         super().__init__(**arguments)
         self.orders = []
         self.applied_fences = []
         self.bad_versions = set()
+        self.bad_adapters = set()
 
     async def order(self, order):
         """Record an order with its time, then apply it."""
         self.orders.append((asyncio.get_running_loop().time(), order))
-        if any(ref.version in self.bad_versions for ref in order.models):
+        if any(
+            ref.version in self.bad_versions or ref.adapter in self.bad_adapters
+            for ref in order.models
+        ):
             raise TargetRefusedError("invalid", "the weights are damaged")
         await super().order(order)
         self.applied_fences.append(order.fence)
@@ -326,6 +330,23 @@
 
         self.run_paused(scenario())
 
+    def test_error_of_an_adapter_that_is_no_longer_wanted_is_dropped(self):
+        async def scenario():
+            async with OrdersFleet() as fleet:
+                await fleet.add_engines(1)
+                await fleet.until_all_serve(V1)
+                (engine,) = fleet.engines.values()
+                engine.bad_adapters = {"night"}
+                await fleet.set_version("v1", adapters=["night"])
+                await asyncio.sleep(20)
+                sidecar = fleet.sidecars["engine-0"]
+                self.assertIn("damaged", sidecar.service.load_report().order_error)
+                await fleet.set_version("v1")
+                await asyncio.sleep(10)
+                self.assertEqual(sidecar.service.load_report().order_error, "")
+
+        self.run_paused(scenario())
+
 
 class FenceTest(PausedCase):
     async def add_second_holder(self, fleet):
