--- a/tests/test_gang.py
+++ b/tests/test_gang.py
@@ -13,27 +13,11 @@
 from cicadatiller.sidecar._gang_member import EXPORT_LEASE_S
 from cicadatiller.sidecar._peers import IDLE_CLOSE_S, SidecarPeers
 from cicadatiller.sidecar._segments import PromptShare
-from cicadatiller.standins import EngineModel, EngineStandin, MemoryNetwork, expected_answer
+from cicadatiller.standins import EngineModel, MemoryNetwork, expected_answer
 
-from .support import Fleet, PausedCase
+from .support import Fleet
 from .support.fleet import DEPLOYMENT
-from .support.fleet import MODEL as MODEL_NAME
-
-KV_TOKENS = 1_000
-MODEL = EngineModel(kv_capacity_tokens=KV_TOKENS, prefill_token_s=1 / 1_000)
-# Three engines together hold one and a half prompts of this length.
-HUGE_PROMPT_TOKENS = 2_000
-TIME_LIMIT_S = 300.0
-
-
-def huge_prompt(name: str, tokens: int = HUGE_PROMPT_TOKENS) -> str:
-    """Return a prompt of a given number of tokens."""
-    return f"plant history {name} ".ljust(tokens * 4, "x")
-
-
-def small_fleet(engines: int = 3) -> Fleet:
-    """Return a fleet of engines with little memory."""
-    return Fleet(engines=engines, entries=1, model=MODEL)
+from .support.gangs import KV_TOKENS, TIME_LIMIT_S, GangCase, huge_prompt, small_fleet
 
 
 async def until(condition, limit_s: float = 60.0) -> None:
@@ -66,13 +50,7 @@
         return f"engine {self.address}"
 
 
-class GangTest(PausedCase):
-    def assert_complete(self, outcome, prompt):
-        """Check that a response is correct and complete."""
-        self.assertIsNone(outcome.failure)
-        self.assertEqual(tuple(outcome.texts), expected_answer(prompt, 8))
-        self.assertIsNotNone(outcome.done)
-
+class GangTest(GangCase):
     async def assert_idle(self, fleet):
         """Check that no engine and no sidecar has memory in use."""
         await asyncio.sleep(EXPORT_LEASE_S + 1)
@@ -80,11 +58,6 @@
         for sidecar in fleet.sidecars.values():
             self.assertEqual(sidecar.service.load_report().kv_used_tokens, 0)
 
-    def start_huge_request(self, fleet, name, **changes):
-        """Start a huge request."""
-        request = fleet.generation(huge_prompt(name), **({"time_limit_s": TIME_LIMIT_S} | changes))
-        return asyncio.create_task(fleet.ask(request))
-
     def test_concurrent_huge_prompts_all_finish(self):
         for count in (1, 2, 5):
             with self.subTest(count=count):
@@ -336,87 +309,3 @@
                 self.assertEqual(fleet.kv_used_tokens(), 0)
 
         self.run_paused(scenario())
-
-    def test_prompt_is_not_too_large_while_engines_are_still_unknown(self):
-        async def scenario():
-            async with small_fleet() as fleet:
-                for target in fleet.entries[0].view.targets()[1:]:
-                    target.clear_load()
-                outcome = await self.start_huge_request(fleet, "a")
-                self.assertIs(outcome.failure.kind, ErrorKind.NO_TARGET)
-                self.assertIs(outcome.failure.run_state, RunState.NOT_RUN)
-                self.assertGreater(outcome.failure.retry_after_s, 0)
-
-        self.run_paused(scenario())
-
-    def test_prompt_is_not_too_large_while_an_engine_is_down(self):
-        async def scenario():
-            async with small_fleet() as fleet:
-                engine = fleet.target_proxies["engine-2"].target
-                engine.crash()
-                await asyncio.sleep(5)
-                outcome = await self.start_huge_request(fleet, "a", time_limit_s=5.0)
-                self.assertIs(outcome.failure.kind, ErrorKind.NO_TARGET)
-                self.assertIs(outcome.failure.run_state, RunState.NOT_RUN)
-                self.assertGreater(outcome.failure.retry_after_s, 0)
-                engine.restart("again")
-                await fleet.wait_ready()
-                self.assert_complete(await self.start_huge_request(fleet, "b"), huge_prompt("b"))
-
-        self.run_paused(scenario())
-
-    def test_host_does_not_find_a_prompt_too_large_while_a_member_is_down(self):
-        async def scenario():
-            async with small_fleet() as fleet:
-                fleet.entries[0].service.dispatcher._large_enough = lambda serving, *_: serving
-                fleet.target_proxies["engine-2"].target.crash()
-                await asyncio.sleep(5)
-                outcome = await self.start_huge_request(fleet, "a", time_limit_s=5.0)
-                self.assertIs(outcome.failure.kind, ErrorKind.NO_TARGET)
-                self.assertIs(outcome.failure.run_state, RunState.NOT_RUN)
-
-        self.run_paused(scenario())
-
-    def test_host_does_not_find_a_prompt_too_large_before_it_knows_the_list(self):
-        async def scenario():
-            async with small_fleet() as fleet:
-                fleet.instances.down = True
-                for sidecar in fleet.sidecars.values():
-                    if isinstance(sidecar.target, EngineTarget):
-                        sidecar.target.peers._instances = ()
-                outcome = await self.start_huge_request(fleet, "a", time_limit_s=5.0)
-                self.assertIs(outcome.failure.kind, ErrorKind.NO_TARGET)
-
-        self.run_paused(scenario())
-
-    def test_prompt_is_too_large_for_the_replicas_of_its_model(self):
-        async def scenario():
-            async with small_fleet(engines=3) as fleet:
-                body = {"deployment": DEPLOYMENT, "version": "v1", "replicas": 1}
-                edit = ObjectEdit(kind="model", name=MODEL_NAME, body_json=json.dumps(body))
-                change = ChangeRecord(
-                    change_id="one", operator="test", reason="test", edits=(edit,)
-                )
-                applied = await fleet.entries[0].operators.apply(change, timeout_s=10)
-                self.assertTrue(applied.accepted)
-                await asyncio.sleep(30)
-                outcome = await self.start_huge_request(fleet, "a")
-                self.assertIs(outcome.failure.kind, ErrorKind.TOO_LARGE)
-
-        self.run_paused(scenario())
-
-    def test_prompt_is_not_too_large_before_a_sidecar_knows_its_engine(self):
-        async def scenario(is_entry_wrong):
-            async with small_fleet(engines=2) as fleet:
-                if is_entry_wrong:
-                    fleet.entries[0].service.dispatcher._large_enough = lambda serving, *_: serving
-                engine = EngineStandin(address="10.0.0.9:9000", model=MODEL, peers={}.get)
-                engine.crash()
-                await fleet.add_sidecar("engine-9", engine=engine, number=8)
-                await asyncio.sleep(5)
-                outcome = await self.start_huge_request(fleet, "a", time_limit_s=5.0)
-                self.assertIs(outcome.failure.kind, ErrorKind.NO_TARGET)
-
-        for is_entry_wrong in (False, True):
-            with self.subTest(is_entry_wrong=is_entry_wrong):
-                self.run_paused(scenario(is_entry_wrong))
