A completed request tells a target's breaker when it ended

The entry recorded each success at time 0, so a target that failed again right after its breaker had closed was probed as soon as after a first failure.

--- a/src/cicadatiller/entry/_attempts.py
+++ b/src/cicadatiller/entry/_attempts.py
@@ -87,7 +87,7 @@
     def record_success(self) -> None:
         """Record that the answer is complete."""
         if self._target is not None:
-            self._target.breaker.record_success()
+            self._target.breaker.record_success(asyncio.get_running_loop().time())
         self._end_attempt()
 
     def record_failure(self, reason: Failure | None) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -217,6 +217,32 @@
 
         self.run_paused(scenario())
 
+    def test_target_that_fails_again_after_a_completed_request_is_probed_later(self):
+        async def scenario():
+            async with Fleet(engines=1, entries=1) as fleet:
+                loop = asyncio.get_running_loop()
+                attempts = AttemptTracker(
+                    request=fleet.generation("stock check"),
+                    deployment="north",
+                    version="v1",
+                    dispatcher=fleet.entries[0].service.dispatcher,
+                    emit=lambda event: None,
+                    on_first_token=lambda taken_s: None,
+                )
+                breaker = attempts.pick(frozenset()).breaker
+                for _ in range(3):
+                    breaker.record_failure(loop.time())
+                await asyncio.sleep(10)
+                attempts.record_success()
+                self.assertFalse(breaker.is_open)
+                await asyncio.sleep(1)
+                for _ in range(3):
+                    breaker.record_failure(loop.time())
+                self.assertFalse(breaker.is_probe_due(loop.time() + 1.35))
+                self.assertTrue(breaker.is_probe_due(loop.time() + 2.65))
+
+        self.run_paused(scenario())
+
     def test_pool_closes_unwanted_connections_and_clears_their_load(self):
         async def scenario():
             async with Fleet(engines=2, entries=1) as fleet:
