A version that was rolled back rolls out slot by slot again

A sidecar kept which earlier slots had once reported a version, so when that version was rolled back and published again, all slots took the others for updated and swapped at the same time, below the number that must stay available. What was reported is now forgotten once the engine serves what it should, and when another version of the model rolls out. The test failed before: 2 of 4 engines served where 3 are the minimum.

--- a/src/cicadatiller/sidecar/_orders.py
+++ b/src/cicadatiller/sidecar/_orders.py
@@ -132,6 +132,7 @@
         elif plan.is_reached(info.loaded):
             self.errors.clear()
             self._backoffs.clear()
+            self._guard.end_rollouts()
 
     def _forget_unwanted(self, plan: Plan) -> None:
         """Drop the errors of models that are not to be loaded any more."""
--- a/src/cicadatiller/sidecar/_orders_guard.py
+++ b/src/cicadatiller/sidecar/_orders_guard.py
@@ -45,6 +45,7 @@
     async def rollout_decision(self, item: WantedModel) -> RolloutDecision:
         """Return how this slot may replace an older version now."""
         target = item.refs[0]
+        self._end_other_rollouts(target)
         names = [slot.name for slot in item.slots]
         if self._own_name not in names:
             return RolloutDecision.SWAP
@@ -65,6 +66,15 @@
             RolloutDecision.SWAP if serving >= item.model.min_available else RolloutDecision.OVERLAP
         )
 
+    def end_rollouts(self) -> None:
+        """Forget which slots were updated: a version may be rolled back and rolled out again."""
+        self._updated_slots.clear()
+
+    def _end_other_rollouts(self, target: ModelRef) -> None:
+        for ref in list(self._updated_slots):
+            if ref.model == target.model and ref != target:
+                del self._updated_slots[ref]
+
     async def may_unload(self, item: WantedModel) -> bool:
         """Return whether enough of the slots that should serve a model do so."""
         needed = min(len(item.slots), max(1, item.model.min_available))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -105,6 +105,27 @@
             self.assertFalse(watching.done())
             watching.cancel()
 
+    def test_version_that_was_rolled_back_rolls_out_one_by_one_again(self):
+        async def scenario(settled):
+            async with OrdersFleet(min_available=3) as fleet:
+                await fleet.add_engines(4)
+                await fleet.until_all_serve(V1)
+                self.track_swaps(fleet)
+                watching = asyncio.create_task(self.watch_serving(fleet, 3))
+                for version, ref in (("v2", V2), ("v1", V1), ("v2", V2), ("v1", V1)):
+                    await fleet.set_version(version)
+                    if settled:
+                        await fleet.until_all_serve(ref)
+                    else:
+                        await fleet.until(lambda ref=ref: len(fleet.serving(ref)) >= 2)
+                await fleet.until_all_serve(V1)
+                self.assertFalse(watching.done())
+                watching.cancel()
+
+        for settled in (True, False):
+            with self.subTest(settled=settled):
+                self.run_paused(scenario(settled))
+
     def test_requests_are_served_during_a_rollout(self):
         async def scenario():
             async with OrdersFleet(min_available=3) as fleet:
