check-settings prints one line for each mistake in the platform's settings

The message of a bad platform file was split at each semicolon, which stands within a mistake as well ('zone: expected a non-empty string; found 3'), and the path was printed twice in the first line: put it into the message, and the command put it before each line. The error now carries its problems.

--- a/src/cicadatiller/cli/_check.py
+++ b/src/cicadatiller/cli/_check.py
@@ -53,7 +53,7 @@
     try:
         load_node_settings(file)
     except PlatformSettingsError as error:
-        return _print_mistakes(file, tuple(str(error).split("; ")))
+        return _print_mistakes(file, error.problems)
     return True
 
 
--- a/src/cicadatiller/platform/_settings.py
+++ b/src/cicadatiller/platform/_settings.py
@@ -11,7 +11,20 @@
 
 
 class PlatformSettingsError(ValueError):
-    """The settings file is invalid; the message names each invalid field."""
+    """The settings file is invalid; the message names the file and each invalid field.
+
+    Args:
+        problems: What is wrong, one text for each field, without the path.
+        path: The file; None if the fields were not read from one.
+
+    Attributes:
+        problems: As the argument.
+    """
+
+    def __init__(self, problems: tuple[str, ...], *, path: Path | None = None) -> None:
+        message = "; ".join(problems)
+        super().__init__(message if path is None else f"{path}: {message}")
+        self.problems = problems
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -23,13 +36,13 @@
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
-        raise PlatformSettingsError(f"cannot read {path}: {error.strerror}") from error
+        raise PlatformSettingsError((f"cannot read: {error.strerror}",), path=path) from error
     except ValueError as error:
-        raise PlatformSettingsError(f"{path} is not valid TOML: {error}") from error
+        raise PlatformSettingsError((f"not valid TOML: {error}",), path=path) from error
     try:
         return parse_node_settings(document)
     except PlatformSettingsError as error:
-        raise PlatformSettingsError(f"{path}: {error}") from error
+        raise PlatformSettingsError(error.problems, path=path) from error
 
 
 def parse_node_settings(document: dict[str, Any]) -> NodeSettings:
@@ -108,7 +121,7 @@
 
     def raise_problems(self) -> None:
         if self._problems:
-            raise PlatformSettingsError("; ".join(self._problems))
+            raise PlatformSettingsError(tuple(self._problems))
 
     def _add_problem(self, name: str, wanted: str) -> None:
         value = self._document.get(name)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -134,6 +134,17 @@
         self.assertEqual((result.exit_code, "good" in result.output), (0, True))
 
 
+    def test_check_of_the_platforms_settings_prints_one_line_for_each_mistake(self):
+        path = self.path.with_suffix(".toml")
+        path.write_text("zone = 3\n")
+        result = CliRunner().invoke(app, ["check-settings", str(path)])
+        self.assertEqual(result.exit_code, 2)
+        lines = result.output.splitlines()
+        self.assertIn(f"{path}: zone: expected a non-empty string; found 3", lines)
+        self.assertIn(f"{path}: node_name: expected a non-empty string; it is missing", lines)
+        self.assertEqual(result.output.count(str(path)), len(lines))
+
+
 class OperationsPageTest(unittest.TestCase):
     def test_examples_are_valid_settings(self):
         text = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
