--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -133,7 +133,6 @@
         result = CliRunner().invoke(app, ["check-settings", str(self.path), "--program", "log"])
         self.assertEqual((result.exit_code, "good" in result.output), (0, True))
 
-
     def test_check_of_the_platforms_settings_prints_one_line_for_each_mistake(self):
         path = self.path.with_suffix(".toml")
         path.write_text("zone = 3\n")
