--- a/src/cicadatiller/cli/_manifests.py
+++ b/src/cicadatiller/cli/_manifests.py
@@ -51,7 +51,9 @@
     """
     try:
         documents = list(yaml.safe_load_all(path.read_text(encoding="utf-8")))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+    except OSError as error:
+        raise CommandError(f"{path}: cannot be read: {error.strerror}", ExitCode.USAGE) from error
+    except (UnicodeDecodeError, yaml.YAMLError) as error:
         raise CommandError(f"{path}: {error}", ExitCode.USAGE) from error
     items: list[object] = []
     for document in documents:
--- a/src/cicadatiller/platform/_deploy.py
+++ b/src/cicadatiller/platform/_deploy.py
@@ -19,8 +19,10 @@
     """Return one message for each invalid field of a deploy file, with the values it may have."""
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        return (f"(file): {error}",)
+    except OSError as error:
+        return (f"(file): cannot be read: {error.strerror}",)
+    except ValueError as error:
+        return (f"(file): not valid TOML: {error}",)
     return tuple(_document_problems(document))
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -143,6 +143,19 @@
         self.assertIn(f"{path}: node_name: expected a non-empty string; it is missing", lines)
         self.assertEqual(result.output.count(str(path)), len(lines))
 
+    def test_path_of_a_file_that_is_absent_is_printed_once(self):
+        path = str(self.path.with_name("absent.toml"))
+        for arguments in (
+            ("check-settings", path, "--program", "deploy"),
+            ("check-settings", path, "--program", "platform"),
+            ("check-settings", path, "--program", "entry"),
+            ("validate", "-f", path),
+        ):
+            with self.subTest(arguments):
+                result = CliRunner().invoke(app, arguments)
+                self.assertEqual(result.exit_code, 2)
+                self.assertEqual(result.output.count(path), 1, result.output)
+
 
 class OperationsPageTest(unittest.TestCase):
     def test_examples_are_valid_settings(self):
