--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -33,6 +33,7 @@
     REQUEST_PLACED = (211, "info", "A request was assigned to its targets.")
     RESPONSE_CUT = (213, "warning", "A caller's connection was closed within its response.")
     REQUEST_ABANDONED = (212, "info", "A caller disconnected before the end of its response.")
+    CONNECTION_REFUSED = (214, "warning", "Too many connections of callers; one was closed unread.")
     PEER_CONNECTED = (300, "info", "A peer connection was established.")
     PEER_LOST = (301, "warning", "A peer connection was lost or timed out.")
     PEER_REMOVED = (303, "warning", "A peer that was unreachable for long was removed.")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -133,6 +133,29 @@
         result = CliRunner().invoke(app, ["check-settings", str(self.path), "--program", "log"])
         self.assertEqual((result.exit_code, "good" in result.output), (0, True))
 
+    def test_check_of_the_platforms_settings_prints_one_line_for_each_mistake(self):
+        path = self.path.with_suffix(".toml")
+        path.write_text("zone = 3\n")
+        result = CliRunner().invoke(app, ["check-settings", str(path)])
+        self.assertEqual(result.exit_code, 2)
+        lines = result.output.splitlines()
+        self.assertIn(f"{path}: zone: expected a non-empty string; found 3", lines)
+        self.assertIn(f"{path}: node_name: expected a non-empty string; it is missing", lines)
+        self.assertEqual(result.output.count(str(path)), len(lines))
+
+    def test_path_of_a_file_that_is_absent_is_printed_once(self):
+        path = str(self.path.with_name("absent.toml"))
+        for arguments in (
+            ("check-settings", path, "--program", "deploy"),
+            ("check-settings", path, "--program", "platform"),
+            ("check-settings", path, "--program", "entry"),
+            ("validate", "-f", path),
+        ):
+            with self.subTest(arguments):
+                result = CliRunner().invoke(app, arguments)
+                self.assertEqual(result.exit_code, 2)
+                self.assertEqual(result.output.count(path), 1, result.output)
+
 
 class OperationsPageTest(unittest.TestCase):
     def test_examples_are_valid_settings(self):
