A target that says in its responses that it leaves gets nothing new from that head on

Callers saw requests go to a target that had announced its end in its answers, until the store's registration said so; in a cut from the store without end. Nothing read the header.

A registration of the same or an earlier start does not undo the statement.

--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -1,5 +1,6 @@
 """The targets that an entry knows, their circuit breakers, and the store that lists them."""
 
+from ._availability import Availability, select_open, select_usable, usable_from_s
 from ._breaker import Breaker, HasBreaker, eject_failing, eject_slow, usable_targets
 from ._directory import Target, TargetDirectory
 from ._store import (
@@ -15,6 +16,7 @@
 
 __all__ = [
     "SHARING_ENTRIES",
+    "Availability",
     "Breaker",
     "HasBreaker",
     "HistoryLostError",
@@ -31,5 +33,8 @@
     "eject_failing",
     "eject_slow",
     "ring_order",
+    "select_open",
+    "select_usable",
+    "usable_from_s",
     "usable_targets",
 ]
--- /dev/null
+++ b/src/cicadatiller/fleet/_availability.py
@@ -0,0 +1,119 @@
+"""Whether a target may get new work now, and if not, from when on.
+
+Two kinds of reasons keep new work from a target. What the target states is binding: one that leaves
+gets none, and one that asked this entry for no requests gets none until the end of that time. What
+this entry observes, by the circuit breaker, is a preference: ejected targets are used again if too
+many of a pool are ejected. `select_usable` applies both, the binding one first.
+"""
+
+import math
+from collections.abc import Sequence
+from typing import Protocol, TypeVar
+
+from ._breaker import HasBreaker, usable_targets
+from ._target import TargetState
+
+# Long enough for the registration of a target that is shutting down to say LEAVING.
+HELP_BACKOFF_S = 3.0
+# Longer times are cut to this, so that a faulty target is not lost for good.
+MAX_QUIET_S = 600.0
+# Requests that running work needs, as renewals of its reservations, in one time of quiet.
+MAX_QUIET_REQUESTS = 2
+
+
+class Availability:
+    """Whether one run of a target may get new work.
+
+    Attributes:
+        registered_state: The state in the target's registration.
+        has_announced_leaving: Whether the target has stated in a response that it leaves. This is
+            final for the run; a registration does not undo it.
+    """
+
+    def __init__(self, *, registered_state: TargetState = TargetState.READY) -> None:
+        self.registered_state = registered_state
+        self.has_announced_leaving = False
+        self._quiet_until_s = -math.inf
+        self._quiet_requests = 0
+        self._help_backoff_until_s = -math.inf
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the target gets no new work any more."""
+        return self.has_announced_leaving or self.registered_state is TargetState.LEAVING
+
+    def usable_from_s(self, now_s: float) -> float:
+        """Return the loop time from which the target may get new work, infinite if never."""
+        return math.inf if self.is_leaving else max(now_s, self._quiet_until_s)
+
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether the target may get new work now."""
+        return self.usable_from_s(now_s) <= now_s
+
+    def is_quiet(self, now_s: float) -> bool:
+        """Return whether the target wants no request from this entry now."""
+        return now_s < self._quiet_until_s
+
+    def quiet_left_s(self, now_s: float) -> float:
+        """Return for how long the target wants no request from this entry; 0 if it takes them."""
+        return max(0.0, self._quiet_until_s - now_s)
+
+    def may_help(self, now_s: float) -> bool:
+        """Return whether the target may prefill parts of prompts hosted elsewhere."""
+        return now_s >= self._help_backoff_until_s and self.is_usable(now_s)
+
+    def record_help_failure(self, now_s: float) -> None:
+        """Record that a request was refused because this target failed as its helper.
+
+        The target is not used as a helper for `HELP_BACKOFF_S`.
+        """
+        self._help_backoff_until_s = now_s + HELP_BACKOFF_S
+
+    def record_quiet(self, now_s: float, quiet_s: float) -> None:
+        """Record that the target wants no request from this entry for a time.
+
+        A later, shorter time does not end an earlier one.
+
+        Args:
+            now_s: The time on the event loop's clock.
+            quiet_s: The time; at most `MAX_QUIET_S` of it counts.
+        """
+        if not self.is_quiet(now_s):
+            self._quiet_requests = 0
+        self._quiet_until_s = max(self._quiet_until_s, now_s + min(MAX_QUIET_S, quiet_s))
+
+    def try_send_for_running_work(self, now_s: float) -> bool:
+        """Return whether a request that running work needs may be sent, and count it if so.
+
+        Only `MAX_QUIET_REQUESTS` are allowed while the target wants no requests.
+        """
+        if not self.is_quiet(now_s):
+            return True
+        if self._quiet_requests >= MAX_QUIET_REQUESTS:
+            return False
+        self._quiet_requests += 1
+        return True
+
+
+class HasAvailability(HasBreaker, Protocol):
+    """A target that is guarded by what it states and by a circuit breaker."""
+
+    availability: Availability
+
+
+T = TypeVar("T", bound=HasAvailability)
+
+
+def select_usable(pool: Sequence[T], now_s: float) -> tuple[T, ...]:
+    """Return the targets of a pool that may get new work now, without those ejected by breakers."""
+    return usable_targets(select_open(pool, now_s), now_s)
+
+
+def select_open(pool: Sequence[T], now_s: float) -> list[T]:
+    """Return the targets of a pool that state nothing against new work, ejected or not."""
+    return [target for target in pool if target.availability.is_usable(now_s)]
+
+
+def usable_from_s(pool: Sequence[T], now_s: float) -> float:
+    """Return when the first target of a pool may get new work, infinite if none ever."""
+    return min((t.availability.usable_from_s(now_s) for t in pool), default=math.inf)
--- a/src/cicadatiller/fleet/_subset.py
+++ b/src/cicadatiller/fleet/_subset.py
@@ -91,7 +91,7 @@
         return tuple(self.entries[index] for index in sorted(indexes))
 
     def targets_of(self, service: str) -> list[Target]:
-        """Return the targets of a service that this entry uses and that accept new work."""
+        """Return the targets of a service that this entry uses and that do not leave."""
         self._refresh()
         return list(self._pools.get(service, ()))
 
--- a/src/cicadatiller/gateway/__init__.py
+++ b/src/cicadatiller/gateway/__init__.py
@@ -8,7 +8,7 @@
 from ._process import Gateway
 from ._reload import SettingsRevision, SettingsWatch
 from ._settings import GatewaySettings
-from ._wire import RequestFields, TargetFields, WireCodec
+from ._wire import RequestFields, TargetFields, TargetNotice, WireCodec
 
 __all__ = [
     "Bounds",
@@ -24,6 +24,7 @@
     "SettingsRevision",
     "SettingsWatch",
     "TargetFields",
+    "TargetNotice",
     "TopicFollower",
     "WireCodec",
     "answer_request",
--- a/src/cicadatiller/gateway/_candidates.py
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -1,15 +1,16 @@
 """The targets that may receive a request, as the placement policy sees them."""
 
 import functools
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Sequence
 
-from ..fleet import Target, eject_failing, eject_slow, usable_targets
+from ..fleet import Target, eject_failing, eject_slow, select_open, select_usable, usable_from_s
 from ..kernel import MAX_RENDEZVOUS_WEIGHT, ErrorKind, fail, rendezvous_weight
 from ..placement import CallCandidate, Candidate, LoadBoard, TargetLoad
 from ..routes import EngineModel
+from ._retry_after import NO_TARGET_RETRY_S, quiet_retry_after_s
 from ._waiter import Waiter
 
-NO_TARGET_RETRY_S = 1.0
 # More than the targets that one entry uses at a time.
 MAX_PREFERENCES = 4096
 
@@ -23,9 +24,9 @@
     Args:
         owner: Id of this run of the entry, by which it ranks targets that are otherwise equal.
         data_centre: Data centre of this entry.
-        targets: Returns the targets of a service that this entry uses and that accept work.
-        spare_targets: Returns all targets of a service that accept work; used if none of the others
-            is left for a request.
+        targets: Returns the targets of a service that this entry uses and that do not leave.
+        spare_targets: Returns all targets of a service that do not leave; used if none of the
+            others is left for a request.
         board: The load of each target.
         unknown_requests: Returns the expected number of requests on a target that other entries
             have placed and this entry does not know of, from the target's id, load and the time.
@@ -53,12 +54,21 @@
         self._may_place = may_place
         self._preference = functools.lru_cache(MAX_PREFERENCES)(self._make_preference)
 
-    def loads(self, service: str) -> list[TargetLoad]:
-        """Return the load of each target of a service that this entry uses."""
-        return [self._board.load(target.instance_id) for target in self._targets(service)]
+    def loads(self, service: str, now_s: float) -> list[TargetLoad]:
+        """Return the load of each target of a service that this entry may use now."""
+        pool = select_open(self._targets(service), now_s)
+        return [self._board.load(target.instance_id) for target in pool]
+
+    def usable_from_s(self, service: str, now_s: float) -> float:
+        """Return when the first target of a service may be used, `now_s` if one may be already."""
+        return usable_from_s(self._spare_targets(service), now_s)
 
     def select(self, waiter: Waiter, now_s: float) -> list[Target]:
-        """Return the targets of a request's service that may be tried now, at least one.
+        """Return the targets of a request's service that may be tried now.
+
+        Returns:
+            At least one target; none if the request resumes a stream and its caller still waits
+            when a target may be used again.
 
         Raises:
             FailureError: If there is none.
@@ -73,17 +83,38 @@
             )
         eject_failing(pool, now_s)
         eject_slow(pool, now_s)
-        usable = usable_targets(pool, now_s)
-        untried = [target for target in usable if target.instance_id not in waiter.excluded]
-        if not untried:
-            others = [*pool, *self._spare_targets(job.service)]
-            untried = [target for target in others if target.instance_id not in waiter.excluded]
-        if not untried:
+        untried = _untried(waiter, select_usable(pool, now_s))
+        if not untried or not _has_permitted(waiter, untried):
+            everyone = [*pool, *self._spare_targets(job.service)]
+            untried = _untried(waiter, select_open(everyone, now_s))
+        if not _has_permitted(waiter, untried):
+            self._check_wait(waiter, now_s)
+            return []
+        return untried
+
+    def _check_wait(self, waiter: Waiter, now_s: float) -> None:
+        """Check that a request may wait until a target that wants no requests can be used.
+
+        Raises:
+            FailureError: If it may not: its caller is told at once.
+        """
+        job = waiter.job
+        pool = self._spare_targets(job.service)
+        if waiter.only is not None:
+            pool = [target for target in pool if target.instance_id in waiter.only]
+        if waiter.is_resumed and _can_wait_for(waiter, _untried(waiter, pool), now_s):
+            return
+        from_s = usable_from_s(pool, now_s)
+        if from_s <= now_s or from_s == math.inf:
             raise fail(
                 ErrorKind.NO_TARGET,
                 f"all ready targets of service {job.service} were already tried",
             )
-        return untried
+        raise fail(
+            ErrorKind.OVERLOADED,
+            f"all targets of service {job.service} want no requests for {from_s - now_s:.1f} s",
+            retry_after_s=quiet_retry_after_s(job, from_s, now_s),
+        )
 
     def describe(
         self, waiter: Waiter, pool: list[Target], model: EngineModel, now_s: float
@@ -121,3 +152,18 @@
 
     def _make_preference(self, target_id: str) -> float:
         return rendezvous_weight(self._owner, target_id) / MAX_RENDEZVOUS_WEIGHT
+
+
+def _can_wait_for(waiter: Waiter, pool: Sequence[Target], now_s: float) -> bool:
+    return usable_from_s(pool, now_s) < waiter.expires_at_s
+
+
+def _untried(waiter: Waiter, pool: Sequence[Target]) -> list[Target]:
+    return [target for target in pool if target.instance_id not in waiter.excluded]
+
+
+def _has_permitted(waiter: Waiter, pool: Sequence[Target]) -> bool:
+    """Return whether a request may be sent to a target of a pool."""
+    if waiter.only is None:
+        return bool(pool)
+    return any(target.instance_id in waiter.only for target in pool)
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -18,7 +18,7 @@
 from ._retry_budget import RetryBudget
 from ._scheduler import Scheduler
 from ._stream import StreamRelay
-from ._tickets import ReservationError, ReservationGroup, ReservationManager
+from ._tickets import ReservationError, ReservationGroup, ReservationManager, check_usable
 from ._waiter import Grant
 from ._wire import TargetFields, WireCodec
 
@@ -50,6 +50,7 @@
         budget: Limits retries.
         metrics: Records attempts and latencies.
         on_failure: Called with the target and the outcome of each failed attempt.
+        on_head: Called with the target and each response head that it sent.
         is_alive: Runs a liveness check of a target.
     """
 
@@ -63,6 +64,7 @@
         budget: RetryBudget,
         metrics: GatewayMetrics,
         on_failure: Callable[[Target, AttemptOutcome], None],
+        on_head: Callable[[Target, ResponseHead], None],
         is_alive: Callable[[Target], Awaitable[bool]],
     ) -> None:
         self._codec = codec
@@ -72,6 +74,7 @@
         self._budget = budget
         self._metrics = metrics
         self._on_failure = on_failure
+        self._on_head = on_head
         self._is_alive = is_alive
         self._loop = asyncio.get_running_loop()
 
@@ -212,6 +215,7 @@
         return AttemptOutcome(delivery=Delivery.UNSENT, reason=str(error), reservation_failed=True)
 
     async def _reserve(self, grant: Grant) -> ReservationGroup | None:
+        check_usable((grant.host, *grant.helpers), self._loop.time())
         if grant.placement is None or not grant.placement.shares:
             return None
         targets = {member.instance_id: member for member in (grant.host, *grant.helpers)}
@@ -220,11 +224,19 @@
         return held
 
     async def _connect(self, grant: Grant, job: Job) -> EgressConnection:
-        return await self._pool.acquire(
+        members = (grant.host, *grant.helpers)
+        check_usable(members, self._loop.time())
+        connection = await self._pool.acquire(
             grant.host.record.address,
             max_idle_s=None if job.route.is_idempotent else UNSAFE_MAX_IDLE_S,
             timeout_s=self._pool.connect_timeout.timeout_s,
         )
+        try:
+            check_usable(members, self._loop.time())
+        except ReservationError:
+            self._pool.release(connection)
+            raise
+        return connection
 
     async def _exchange(
         self,
@@ -243,6 +255,7 @@
             self._record_proxy_overhead(job, progress)
             sent_s = self._loop.time()
             head = await self._read_head(connection, grant, job, progress)
+            self._on_head(grant.host, head)
             if self._codec.says_not_run(head):
                 return await self._read_refusal(connection, head, grant)
             if head.status == OK and job.route.kind is RouteKind.STREAM:
--- a/src/cicadatiller/gateway/_orders.py
+++ b/src/cicadatiller/gateway/_orders.py
@@ -1,9 +1,12 @@
 """The control interface of engines: memory reservations and reports."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..egress import ResponseHead
+
 
 class ReserveResult(enum.Enum):
     """The result of an order to reserve memory; `UNKNOWN` if the engine did not respond."""
@@ -29,6 +32,9 @@
 class EngineClient(Protocol):
     """Sends orders to engines: reserves and releases memory, and requests reports."""
 
+    def listen(self, on_head: Callable[[str, ResponseHead], None]) -> None:
+        """Call `on_head` with the address and the head of each response from now on."""
+
     async def reserve(
         self, address: str, ticket: str, *, tokens: int, hold_s: float
     ) -> ReserveResult:
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 
 from ..channels import Transport
-from ..fleet import KeyedPage, KeyedRecord, TargetDirectory, Topic
+from ..fleet import KeyedPage, KeyedRecord, Target, TargetDirectory, Topic
 from ..kernel import TaskSet
 from ..mesh import (
     Greeting,
@@ -12,6 +12,7 @@
     RetryUse,
     StoreRecord,
     TargetFailure,
+    TargetLeaving,
     TargetPace,
     TopicPage,
     TopicRequest,
@@ -78,6 +79,7 @@
         self._pending_topic_updates: list[TopicUpdate] = []
         self._pending_failures: list[TargetFailure] = []
         self._pending_paces: list[TargetPace] = []
+        self._pending_leaving: list[TargetLeaving] = []
         self._has_new_offsets = False
         self._flush_handle: asyncio.Handle | None = None
         self.mesh = Mesh(greeting=greeting, transport=transport, listener=self, tasks=tasks)
@@ -116,6 +118,11 @@
         self._pending_paces.append(TargetPace(target_id=target_id, pace=pace))
         self._schedule_flush()
 
+    def target_leaving(self, target: Target) -> None:
+        """Announce to the peers a target that stated in a response that it leaves."""
+        self._pending_leaving.append(_to_leaving(target))
+        self._schedule_flush()
+
     def topic_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
         """Send to the peers the records that this entry read, so that they need not read them."""
         self._pending_topic_updates.append(_to_topic_update(topic, from_offset, page))
@@ -148,6 +155,7 @@
             added=tuple(works),
             retries=self._retry_use(),
             known_offsets=self.known_offsets(),
+            leaving=tuple(map(_to_leaving, self._directory.announced_leaving())),
         )
 
     def heartbeat(self) -> Update:
@@ -176,6 +184,8 @@
             self._board.remove(work_id, target_ids_by_work.pop(work_id, ()), now_s, by_peer=True)
         for failure in update.failures:
             self._apply_failure(name, failure, now_s)
+        for run in update.leaving:
+            self._directory.record_leaving(run.target_id, run.started_ms, source=name)
         for paced in update.paces:
             self._board.load(paced.target_id).record_pace(paced.pace)
         for use in update.retries:
@@ -294,6 +304,7 @@
 
     def _flush(self) -> None:
         self._flush_handle = None
+        has_offsets = self._has_new_offsets or bool(self._pending_leaving)
         update = Update(
             added=tuple(self._pending_added),
             begun=tuple(self._pending_begun),
@@ -301,14 +312,20 @@
             news=tuple(self._pending_topic_updates),
             failures=tuple(self._pending_failures),
             paces=tuple(self._pending_paces),
-            known_offsets=self.known_offsets() if self._has_new_offsets else None,
+            known_offsets=self.known_offsets() if has_offsets else None,
+            leaving=tuple(self._pending_leaving),
         )
         self._has_new_offsets = False
         self._pending_added, self._pending_begun, self._pending_ended = [], [], []
         self._pending_topic_updates, self._pending_failures, self._pending_paces = [], [], []
+        self._pending_leaving = []
         self.mesh.broadcast(update)
 
 
+def _to_leaving(target: Target) -> TargetLeaving:
+    return TargetLeaving(target_id=target.instance_id, started_ms=target.record.started_ms)
+
+
 def _to_topic_update(topic: Topic, from_offset: int, page: KeyedPage) -> TopicUpdate:
     return TopicUpdate(
         topic=topic.value,
--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -80,10 +80,11 @@
         return True
 
     def _assigned_targets(self) -> list[Target]:
+        now_s = asyncio.get_running_loop().time()
         return [
             target
             for target in self._directory.targets()
-            if target.accepts_work
+            if target.is_usable(now_s)
             and not target.breaker.is_unreachable
             and self._is_engine(target.record.service)
             and self._name == self._responsible_entry(target)
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -7,7 +7,7 @@
 
 from ..channels import Transport, split_address
 from ..egress import ConnectionPool
-from ..fleet import KeyedLog, KeyedPage, Target, TargetDirectory, TargetSubset, Topic
+from ..fleet import KeyedLog, Target, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
 from ..mesh import COMPACT_PROTOCOL, Greeting
@@ -35,6 +35,7 @@
 from ._sinks import ConfigurationSink, DocumentDecoder, TargetSink
 from ._slot_arbiter import SlotArbiter
 from ._status import StatusServer
+from ._target_notices import MISDIRECTED, TargetNotices
 from ._tickets import ReservationManager
 from ._wire import WireCodec
 
@@ -59,9 +60,6 @@
 
 MAX_MESH_DELAY_S = 0.3
 
-MISDIRECTED = 421
-MIN_PACE_CHANGE = 0.1
-
 
 class Gateway:
     """One entry that serves HTTP/1.1 callers.
@@ -125,6 +123,8 @@
         self.peer_sync = self._make_peer_sync(transport)
         self._membership = self._make_membership(log)
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
+        self._notices = self._make_notices(codec)
+        orders.listen(self._notices.record_head_at)
         self._prober = self._make_prober(orders)
         self._scheduler = self._make_scheduler()
         self._caller_server = IngressServer(handler=self._make_handler(codec).handle)
@@ -223,6 +223,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._pool.close_expired()
+            self._notices.close_idle()
             self._log_figures()
             if self._loop.time() >= next_selection_s:
                 next_selection_s += PEER_SELECTION_INTERVAL_S
@@ -270,7 +271,7 @@
                 topic=Topic.TARGETS,
                 sink=targets,
                 interval_s=self._target_read_interval_s(),
-                on_read=self._share_read,
+                on_read=lambda *read: self.peer_sync.topic_read(*read),
                 on_change=self._on_topic_change,
                 on_store_recovered=lambda: self._followers[Topic.CONFIGURATION].renew_poll(),
             ),
@@ -316,6 +317,16 @@
             connected_peers=lambda: self.peer_sync.mesh.connected_peers,
         )
 
+    def _make_notices(self, codec: WireCodec) -> TargetNotices:
+        return TargetNotices(
+            codec=codec,
+            directory=self._directory,
+            pool=self._pool,
+            board=self.board,
+            listener=self.peer_sync,
+            on_change=self._wake,
+        )
+
     def _make_prober(self, orders: EngineClient) -> EngineProber:
         return EngineProber(
             name=self._node.name,
@@ -324,7 +335,7 @@
             tasks=self._tasks,
             is_engine=self._is_engine,
             users=self._connected_users,
-            on_pace=self._record_pace,
+            on_pace=self._notices.record_pace,
             on_unresponsive=self._record_unresponsive,
         )
 
@@ -367,6 +378,7 @@
             budget=self._budget,
             metrics=self._metrics,
             on_failure=self._record_target_failure,
+            on_head=self._notices.record_head,
             is_alive=self._prober.is_alive,
         )
         return RequestHandler(
@@ -379,9 +391,6 @@
             rng=random.Random(),
         )
 
-    def _share_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
-        self.peer_sync.topic_read(topic, from_offset, page)
-
     def _connected_users(self, target_id: str) -> list[str]:
         """Return the connected entries that use a target, this one included."""
         entries = (self._node.name, *self.peer_sync.mesh.connected_peers)
@@ -427,14 +436,6 @@
             helper.record_help_failure(now_s)
             self.peer_sync.target_failed(helper.instance_id, "it did not help", is_helper=True)
 
-    def _record_pace(self, instance_id: str, pace: float) -> None:
-        load = self.board.load(instance_id)
-        before = load.pace
-        load.record_pace(pace)
-        if abs(load.pace - before) > MIN_PACE_CHANGE:
-            log_event(Event.TARGET_PACE, target=instance_id, pace=round(pace, 2))
-            self.peer_sync.target_pace_changed(instance_id, pace)
-
     def _record_unresponsive(self, target: Target) -> None:
         target.breaker.record_failure(self._loop.time(), unreachable=True)
         self._pool.close_idle(target.record.address)
@@ -486,6 +487,7 @@
             "caller_connections": self._caller_server.open_connections,
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
+            "targets_announced_leaving": len(self._directory.announced_leaving()),
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
             "entries_known": len(self._subset.entries),
             "targets_used": self._subset.size,
--- a/src/cicadatiller/gateway/_redialer.py
+++ b/src/cicadatiller/gateway/_redialer.py
@@ -32,10 +32,15 @@
         while True:
             await asyncio.sleep(DIAL_INTERVAL_S)
             for target in list(self._directory.targets()):
-                if target.breaker.is_unreachable and target.instance_id not in self._dialing:
+                if self._should_dial(target):
                     self._dialing.add(target.instance_id)
                     self._tasks.start(self._dial(target), name=f"dial {target.instance_id}")
 
+    def _should_dial(self, target: Target) -> bool:
+        is_usable = target.is_usable(asyncio.get_running_loop().time())
+        is_dialing = target.instance_id in self._dialing
+        return target.breaker.is_unreachable and is_usable and not is_dialing
+
     async def _dial(self, target: Target) -> None:
         try:
             connection = await self._pool.open(target.record.address, timeout_s=DIAL_TIMEOUT_S)
--- a/src/cicadatiller/gateway/_retry_after.py
+++ b/src/cicadatiller/gateway/_retry_after.py
@@ -5,14 +5,16 @@
 from collections.abc import Sequence
 
 from ..placement import Backlog, TargetLoad
-from ._candidates import NO_TARGET_RETRY_S
 from ._job import Job
 
+NO_TARGET_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
 RETRY_JITTER = 0.5
 # Most backlogs end within this multiple of the time that they have already lasted.
 BACKLOG_AGE_FACTOR = 2.5
 RETRY_SHARE_OF_REMAINING_TIME = 0.6
+# Of the time until targets take requests again: the wait of a caller is at least that long.
+QUIET_END_JITTER = 0.1
 
 
 def retry_after_s(job: Job, loads: Sequence[TargetLoad], backlog: Backlog, now_s: float) -> float:
@@ -35,5 +37,23 @@
     )
     # Without jitter, refused callers would retry at the same time and cause a new burst.
     jittered_s = expected_s * random.uniform(1.0, 1.0 + RETRY_JITTER)
+    return _within_limits(job, jittered_s, now_s)
+
+
+def quiet_retry_after_s(job: Job, from_s: float, now_s: float) -> float:
+    """Return the delay until a target of a request's service takes requests again, in seconds.
+
+    Args:
+        job: The request.
+        from_s: When the first target takes requests again.
+        now_s: The time on the event loop's clock.
+    """
+    return _within_limits(
+        job, (from_s - now_s) * random.uniform(1.0, 1.0 + QUIET_END_JITTER), now_s
+    )
+
+
+def _within_limits(job: Job, delay_s: float, now_s: float) -> float:
+    """Return a delay within what the caller of a request can use."""
     max_delay_s = RETRY_SHARE_OF_REMAINING_TIME * (job.caller_deadline_s - now_s)
-    return round(max(0.0, min(MAX_RETRY_AFTER_S, jittered_s, max_delay_s)), 3)
+    return round(max(0.0, min(MAX_RETRY_AFTER_S, delay_s, max_delay_s)), 3)
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -282,11 +282,12 @@
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
         job = waiter.job
-        loads = self._candidates.loads(job.service)
+        now_s = self._loop.time()
+        loads = self._candidates.loads(job.service, now_s)
         return fail(
             ErrorKind.OVERLOADED,
             f"the targets of service {job.service} are overloaded: {reason}",
-            retry_after_s=retry_after_s(job, loads, self._backlog(waiter), self._loop.time()),
+            retry_after_s=retry_after_s(job, loads, self._backlog(waiter), now_s),
         )
 
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
@@ -352,7 +353,7 @@
         """Return the expected demand for a service, cached for `DEMAND_MAX_AGE_S`."""
         cached = self._demands.get(service)
         if cached is None or now_s - cached.computed_at_s >= DEMAND_MAX_AGE_S:
-            loads = self._candidates.loads(service)
+            loads = self._candidates.loads(service, now_s)
             waiting = [w.prompt for w in self._waiters if w.job.service == service and w.prompt]
             demand = expected_demand(loads, waiting, model, now_s)
             cached = _CachedDemand(demand=demand, computed_at_s=now_s)
--- /dev/null
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -0,0 +1,104 @@
+"""Applies what targets state about themselves in their responses."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from ..egress import ConnectionPool, ResponseHead
+from ..fleet import Target, TargetDirectory
+from ..kernel import Event, log_event
+from ..placement import LoadBoard
+from ._wire import WireCodec
+
+MISDIRECTED = 421
+MIN_PACE_CHANGE = 0.1
+
+
+class NoticeListener(Protocol):
+    """Receives what this entry was the first to learn from a target."""
+
+    def target_leaving(self, target: Target) -> None:
+        """Handle a target that stated in a response that it leaves."""
+
+    def target_pace_changed(self, target_id: str, pace: float) -> None:
+        """Handle the changed pace in a target's report."""
+
+
+class TargetNotices:
+    """Applies the notices in response heads, and the pace in reports.
+
+    Args:
+        codec: Decodes the notices.
+        directory: The known targets.
+        pool: The connections to targets; the idle ones to leaving targets are closed.
+        board: The load of each target.
+        listener: Receives what the peers have to know.
+        on_change: Called after a target began to refuse new work.
+    """
+
+    def __init__(
+        self,
+        *,
+        codec: WireCodec,
+        directory: TargetDirectory,
+        pool: ConnectionPool,
+        board: LoadBoard,
+        listener: NoticeListener,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._codec = codec
+        self._directory = directory
+        self._pool = pool
+        self._board = board
+        self._listener = listener
+        self._on_change = on_change
+        self._loop = asyncio.get_running_loop()
+
+    def record_head(self, target: Target, head: ResponseHead) -> None:
+        """Apply the response head of a target that a request was sent to."""
+        if head.status == MISDIRECTED:
+            # Another run listens at the address, and speaks for itself.
+            successor = self._directory.find_at(target.record.address, other_than=target)
+            if successor is not None:
+                self._apply(successor, head)
+            return
+        self._apply(target, head)
+
+    def record_head_at(self, address: str, head: ResponseHead) -> None:
+        """Apply the response head to an order or a report, which are sent to an address."""
+        target = self._directory.find_at(address)
+        if target is not None:
+            self._apply(target, head)
+
+    def record_pace(self, instance_id: str, pace: float) -> None:
+        """Apply the pace in a target's report."""
+        load = self._board.load(instance_id)
+        before = load.pace
+        load.record_pace(pace)
+        if abs(load.pace - before) > MIN_PACE_CHANGE:
+            log_event(Event.TARGET_PACE, target=instance_id, pace=round(pace, 2))
+            self._listener.target_pace_changed(instance_id, pace)
+
+    def close_idle(self) -> None:
+        """Close the idle connections to leaving targets, as those whose last work has ended."""
+        for target in self._directory.targets():
+            if not target.accepts_work and self._listens(target):
+                self._pool.close_idle(target.record.address)
+
+    def _apply(self, target: Target, head: ResponseHead) -> None:
+        notice = self._codec.decode_notice(head)
+        if notice.is_leaving:
+            self._record_leaving(target)
+
+    def _record_leaving(self, target: Target) -> None:
+        record = target.record
+        if not self._directory.record_leaving(
+            record.instance_id, record.started_ms, source="response"
+        ):
+            return
+        self._pool.close_idle(record.address)
+        self._listener.target_leaving(target)
+        self._on_change()
+
+    def _listens(self, target: Target) -> bool:
+        return self._directory.find_at(target.record.address) is target
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -1,6 +1,7 @@
 """Reserves engine memory for prompts that do not fit into one engine."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..fleet import Target
@@ -52,6 +53,22 @@
         self.failed_targets = failed_targets
 
 
+class TargetsWithdrawnError(ReservationError):
+    """Targets of a request stopped taking new work before it was sent."""
+
+
+def check_usable(targets: Sequence[Target], now_s: float) -> None:
+    """Check that new work may be sent to all targets of a request.
+
+    Raises:
+        TargetsWithdrawnError: If some of them leave, or want no requests, since it was placed.
+    """
+    withdrawn = tuple(target for target in targets if not target.is_usable(now_s))
+    if withdrawn:
+        names = ", ".join(target.instance_id for target in withdrawn)
+        raise TargetsWithdrawnError(f"{names} stopped taking new work", withdrawn)
+
+
 class ReservationManager:
     """Makes reservations, renews them while they are in use, and releases them.
 
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -51,6 +51,19 @@
     helpers: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetNotice:
+    """What a target states about itself in a response head.
+
+    Attributes:
+        is_leaving: Whether it leaves and wants no new work.
+        quiet_s: The time for which it wants no request from this entry; 0 if it states none.
+    """
+
+    is_leaving: bool = False
+    quiet_s: float = 0.0
+
+
 class WireCodec(Protocol):
     """Decodes and encodes the headers that a deployment's callers and targets use."""
 
@@ -69,6 +82,9 @@
     def has_signature(self, head: ResponseHead) -> bool:
         """Return whether a response is signed by a target."""
 
+    def decode_notice(self, head: ResponseHead) -> TargetNotice:
+        """Decode what the target states about itself; unreadable fields get their defaults."""
+
     def blamed_address(self, head: ResponseHead) -> str:
         """Return the address of the target at fault for a refusal; empty if not stated."""
 
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -16,13 +16,16 @@
     RetryUse,
     StoreRecord,
     TargetFailure,
+    TargetLeaving,
     TargetPace,
     TopicUpdate,
     Update,
     WorkShare,
 )
 
-FIELD_COUNT = 9
+FIELD_COUNT = 10
+OFFSETS_INDEX = 8
+LEAVING_INDEX = 9
 MS_PER_S = 1_000
 US_PER_S = 1_000_000
 PACE_UNITS = 100
@@ -53,6 +56,7 @@
         [[paced.target_id, round(paced.pace * PACE_UNITS)] for paced in update.paces],
         [[use.service, use.requests, use.retries] for use in update.retries],
         update.known_offsets,
+        [[leaving.target_id, leaving.started_ms] for leaving in update.leaving],
     ]
     while fields[-1] in (None, []):
         fields.pop()
@@ -88,12 +92,21 @@
             retries=tuple(
                 RetryUse(service=row[0], requests=row[1], retries=row[2]) for row in padded[7]
             ),
-            known_offsets=dict(padded[8]) if len(fields) >= FIELD_COUNT else None,
+            known_offsets=_to_offsets(fields),
+            leaving=tuple(
+                TargetLeaving(target_id=row[0], started_ms=row[1]) for row in padded[LEAVING_INDEX]
+            ),
         )
     except (TypeError, IndexError, KeyError) as error:
         raise ValueError(f"compact update is malformed: {error!r}") from error
 
 
+def _to_offsets(fields: list[Any]) -> dict[str, int] | None:
+    """Return the offsets; None if the update has none, which is not the same as no offset."""
+    has_offsets = len(fields) > OFFSETS_INDEX and fields[OFFSETS_INDEX] is not None
+    return dict(fields[OFFSETS_INDEX]) if has_offsets else None
+
+
 def pack_records(records: Iterable[StoreRecord]) -> bytes:
     """Return records as compressed CBOR, as in `TopicPage.records`."""
     return zlib.compress(cbor2.dumps([_record_row(record) for record in records]), ZLIB_LEVEL)
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -110,6 +110,19 @@
     is_helper: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLeaving:
+    """A run of a target that announced that it leaves.
+
+    Attributes:
+        target_id: The instance id of the target.
+        started_ms: The start time of the run; see `TargetRecord`.
+    """
+
+    target_id: str
+    started_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetPace:
     """The slowdown factor of a target against its engine model; 1.0 is as modelled."""
@@ -142,8 +155,10 @@
         paces: Slowdown factors that targets reported.
         retries: The sender's use of the retry budgets.
         known_offsets: The next offset of each topic that the sender has read; unread topics are
-            absent. None except in heartbeats and snapshots; the peer acknowledges an update that
-            has it.
+            absent. None except in heartbeats, snapshots and updates with `leaving`; the peer
+            acknowledges an update that has it.
+        leaving: Targets that announced that they leave. An update that has it has `known_offsets`,
+            too: older peers can't read a compact update with later fields but without that one.
     """
 
     is_snapshot: bool = False
@@ -155,6 +170,7 @@
     paces: tuple[TargetPace, ...] = ()
     retries: tuple[RetryUse, ...] = ()
     known_offsets: dict[str, int] | None = None
+    leaving: tuple[TargetLeaving, ...] = ()
 
 
 @message("mesh-load", body_field="fields")
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from ..egress import ResponseHead, render_request
-from ..gateway import RequestFields, TargetFields
+from ..gateway import RequestFields, TargetFields, TargetNotice
 from ..ingress import Header, Request
 
 REQUEST_ID = b"attempt-id"
@@ -31,6 +31,9 @@
 SIGNATURE = b"server-seal"
 # "IP:PORT" of the target at fault for a refusal, which may be a helper.
 BLAMED_ADDRESS = b"at-server"
+# "1" if the target leaves.
+LEAVING = b"server-leaving"
+LEAVING_VALUE = b"1"
 RETRY_AFTER = b"Retry-After"
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -108,6 +111,10 @@
         """Return whether a response is signed by a target."""
         return head.find(SIGNATURE) is not None
 
+    def decode_notice(self, head: ResponseHead) -> TargetNotice:
+        """Decode what the target states about itself; unreadable fields get their defaults."""
+        return TargetNotice(is_leaving=(head.find(LEAVING) or b"").strip() == LEAVING_VALUE)
+
     def blamed_address(self, head: ResponseHead) -> str:
         """Return the address of the target at fault for a refusal; empty if not stated."""
         return (head.find(BLAMED_ADDRESS) or b"").decode("latin-1")
--- a/src/cicadatiller/platform/_orders.py
+++ b/src/cicadatiller/platform/_orders.py
@@ -1,8 +1,10 @@
 """Sends orders to the platform's engines and requests their reports, over HTTP/1.1."""
 
+import asyncio
 import json
+from collections.abc import Callable
 
-from ..egress import ConnectionPool, EgressError, render_request
+from ..egress import ConnectionPool, EgressError, ResponseHead, render_request
 from ..gateway import EngineReport, ReserveResult
 from ..kernel import Event, log_event
 
@@ -26,6 +28,11 @@
     def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
         self.orders = 0
+        self._on_head: Callable[[str, ResponseHead], None] = lambda address, head: None
+
+    def listen(self, on_head: Callable[[str, ResponseHead], None]) -> None:
+        """Call `on_head` with the address and the head of each response from now on."""
+        self._on_head = on_head
 
     async def reserve(
         self, address: str, ticket: str, *, tokens: int, hold_s: float
@@ -77,9 +84,17 @@
             headers.append((b"Content-Type", b"application/json"))
         request = render_request(method, target, headers, body)
         try:
-            head, answer = await self._pool.exchange(
-                address, request, timeout_s=CALL_TIMEOUT_S, max_response_bytes=MAX_RESPONSE_BYTES
-            )
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await self._exchange(address, request)
         except (EgressError, TimeoutError):
             return None
-        return head.status, answer
+
+    async def _exchange(self, address: str, request: bytes) -> tuple[int, bytes]:
+        connection = await self._pool.acquire(address)
+        try:
+            connection.start(request)
+            head = await connection.read_head()
+            self._on_head(address, head)
+            return head.status, await connection.read_whole_body(MAX_RESPONSE_BYTES)
+        finally:
+            self._pool.release(connection)
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -137,9 +137,14 @@
         runs: The requests that it ran.
         orders: The orders that it received, as (operation, id).
         order_handler: Called with each order; returns the status to respond with, or "hang".
+        is_leaving: Whether all responses state that it leaves.
+        retry_after: The Retry-After value of its responses with status 503; None for no header.
+        report_status: The status of its reports.
+        received: The requests of all kinds that reached it, as (loop time, path).
         script: If set, called with the headers and the number of each request. It returns what
             happens to the request: a status of 400 or more (refused as not run), "blame ADDRESS"
-            (refused because of that helper), "hang", "reset", "lose" (run, then reset), "error"
+            (refused because of that helper), "unsure" (status 503 without a statement that it did
+            not run), "hang", "reset", "lose" (run, then reset), "error"
             (run, then status 500), the number of events after which the stream is aborted, or
             None to serve it.
     """
@@ -159,6 +164,10 @@
         self.orders = []
         self.tickets = {}
         self.order_handler = lambda order: 200
+        self.is_leaving = False
+        self.retry_after = None
+        self.report_status = 200
+        self.received = []
         self.script = None
         self.request_count = 0
         self.address = ""
@@ -188,11 +197,15 @@
 
     async def _handle(self, request, responder):
         headers = {name.lower().decode(): value.decode() for name, value in request.headers}
+        path = request.target.decode()
+        self.received.append((asyncio.get_running_loop().time(), path))
         if request.target == b"/report":
             self.reports += 1
             tickets = [{"id": name, "tokens": size} for name, size in self.tickets.items()]
             body = json.dumps({"pace": self.pace, "tickets": tickets}).encode()
-            await responder.answer(Response(status=200, body=body))
+            headers = self._statements(self.report_status)
+            response = Response(status=self.report_status, headers=headers, body=body)
+            await responder.answer(response)
             return
         if request.target == b"/order":
             await self._handle_order(json.loads(request.body), responder)
@@ -211,16 +224,26 @@
             responder.abort()
         elif isinstance(step, int) and step >= 400:
             await self._refuse(headers, step, responder)
+        elif step == "unsure":
+            await responder.answer(Response(status=503, headers=self._statements(503)))
         elif isinstance(step, str) and step.startswith("blame "):
             await self._refuse(headers, 503, responder, blamed=step[6:])
         else:
             await self._run(request, headers, step, responder)
 
+    def _statements(self, status):
+        """Return the headers in which the target speaks of itself."""
+        headers = ((b"Server-Leaving", b"1"),) if self.is_leaving else ()
+        if status == 503 and self.retry_after is not None:
+            headers += ((b"Retry-After", self.retry_after),)
+        return headers
+
     async def _refuse(self, headers, status, responder, blamed=""):
         self.refused += 1
         response_headers = (
             (b"Attempt-Id", headers["attempt-id"].encode()),
             (b"Not-Executed", b"1"),
+            *self._statements(status),
         )
         if blamed:
             response_headers += ((b"At-Server", blamed.encode()),)
@@ -235,12 +258,13 @@
             began_s=asyncio.get_running_loop().time(),
         )
         self.runs.append(run)
-        response_headers = (
-            (b"Attempt-Id", headers["attempt-id"].encode()),
-            (b"Server-Seal", self.instance_id.encode()),
-        )
         try:
             await asyncio.sleep(self.work_s)
+            response_headers = (
+                (b"Attempt-Id", headers["attempt-id"].encode()),
+                (b"Server-Seal", self.instance_id.encode()),
+                *self._statements(200),
+            )
             if step == "lose":
                 responder.abort()
             elif step == "error":
@@ -285,4 +309,5 @@
             self.tickets[order["id"]] = order["tokens"]
         elif status == 200:
             self.tickets.pop(order["id"], None)
-        await responder.answer(Response(status=status, body=b"{}"))
+        headers = self._statements(status)
+        await responder.answer(Response(status=status, headers=headers, body=b"{}"))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -16,6 +16,7 @@
     RetryUse,
     StoreRecord,
     TargetFailure,
+    TargetLeaving,
     TargetPace,
     TopicPage,
     TopicRequest,
@@ -75,6 +76,7 @@
     paces=(TargetPace(target_id="t", pace=1.5),),
     retries=(RetryUse(service="pool", requests=10, retries=2),),
     known_offsets={"targets": 9},
+    leaving=(TargetLeaving(target_id="i-7f3a91c2", started_ms=1_700_000_000_000),),
 )
 
 
@@ -90,6 +92,10 @@
         for update in (Update(), Update(known_offsets={}), Update(ended=(f"{RUN}-1",))):
             self.assertEqual(self.round_trip(update), update)
 
+    def test_update_of_leaving_targets_without_offsets_is_no_heartbeat(self):
+        update = Update(leaving=FULL_UPDATE.leaving)
+        self.assertEqual(self.round_trip(update), update)
+
     def test_placement_takes_less_than_a_third_of_the_first_protocol(self):
         update = Update(added=(make_share(),))
         self.assertLess(3 * len(encode_compact(update)), len(encode(update)))
