A target's 503 with Retry-After keeps this entry's requests away for that time

Callers' requests, retries, probes and orders went on reaching a target that had asked for none, and its refusal cost each of them an attempt; when all targets of a service asked, callers were told to return at once. Nothing read the header of a target's response.

Callers are refused at once when nothing may be used, until the earliest end.

--- a/src/cicadatiller/fleet/_breaker.py
+++ b/src/cicadatiller/fleet/_breaker.py
@@ -183,7 +183,8 @@
 
     Unreachable targets are left out, unless all are unreachable. Of the others, at most
     `MAX_EJECTED_SHARE` stay ejected, those whose breakers opened first, so that failures can't
-    empty the pool. Targets that are due for a probe are included.
+    empty the pool. Targets that are due for a probe are included. `select_usable` also applies what
+    the targets state about themselves.
     """
     pool = [target for target in pool if not target.breaker.is_unreachable] or pool
     opened = [target for target in pool if target.breaker.is_open]
--- a/src/cicadatiller/gateway/_candidates.py
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -85,8 +85,7 @@
         eject_slow(pool, now_s)
         untried = _untried(waiter, select_usable(pool, now_s))
         if not untried or not _has_permitted(waiter, untried):
-            everyone = [*pool, *self._spare_targets(job.service)]
-            untried = _untried(waiter, select_open(everyone, now_s))
+            untried = _untried(waiter, select_open(self._spare_targets(job.service), now_s))
         if not _has_permitted(waiter, untried):
             self._check_wait(waiter, now_s)
             return []
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -10,6 +10,7 @@
 from ..kernel import ErrorKind, Event, FailureError, RunState, fail, log_event
 from ..routes import RouteKind
 from ._events import EventTooLongError
+from ._failure_response import UNAVAILABLE
 from ._job import Job
 from ._liveness import read_with_liveness_check
 from ._metrics import GatewayMetrics
@@ -129,7 +130,7 @@
                 await responder.answer(outcome.answer)
                 return outcome
             if step is not NextStep.RETRY:
-                raise _error_for_step(step, outcome, job)
+                raise _error_for_step(step, outcome, self._scheduler.retry_after_s(job))
 
     def _allowed_targets(self, job: Job, progress: Progress) -> frozenset[str] | None:
         """Return the targets to which the request may be sent; None for any.
@@ -342,8 +343,13 @@
         answer = Response(status=head.status, headers=self._codec.caller_headers(head), body=body)
         if head.status >= FIRST_SERVER_ERROR:
             reason = f"target failed with status {head.status}"
+            # An entry's 503 states that the request did not run, which this one does not.
+            is_passed_on = head.status != UNAVAILABLE
             return AttemptOutcome(
-                delivery=Delivery.FAILED, reason=reason, status=head.status, answer=answer
+                delivery=Delivery.FAILED,
+                reason=reason,
+                status=head.status,
+                answer=answer if is_passed_on else None,
             )
         if head.status < FIRST_NON_SUCCESS and not self._codec.has_signature(head):
             return AttemptOutcome(delivery=Delivery.LOST, reason="response has no target signature")
@@ -400,12 +406,12 @@
     )
 
 
-def _error_for_step(step: NextStep, outcome: AttemptOutcome, job: Job) -> FailureError:
+def _error_for_step(step: NextStep, outcome: AttemptOutcome, retry_after_s: float) -> FailureError:
     if step is not NextStep.REFUSE:
         return fail(ErrorKind.TARGET_LOST, outcome.reason, run_state=RunState.OUTCOME_UNKNOWN)
     return fail(
         ErrorKind.TARGET_REFUSED,
         outcome.reason,
         run_state=RunState.NOT_RUN,
-        retry_after_s=job.route.target_latency_s / 2,
+        retry_after_s=retry_after_s,
     )
--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -60,10 +60,13 @@
     async def is_alive(self, target: Target) -> bool:
         """Return whether an engine responds to a liveness check; concurrent checks share one call.
 
-        Targets that are not engines have no report, and count as dead.
+        Targets that are not engines have no report, and count as dead. One that wants no requests
+        has lately responded, and counts as alive.
         """
         if not self._is_engine(target.record.service):
             return False
+        if _is_quiet(target):
+            return True
         check = self._pending_checks.get(target.instance_id)
         if check is None:
             check = asyncio.get_running_loop().create_task(self._run_liveness_check(target))
@@ -73,6 +76,8 @@
 
     async def _run_liveness_check(self, target: Target) -> bool:
         report = await self._orders.report(target.record.address)
+        if report is None and _is_quiet(target):
+            return True
         if report is None:
             self._on_unresponsive(target)
             return False
@@ -99,3 +104,7 @@
 
     async def _probe(self, target: Target) -> None:
         await self.is_alive(target)
+
+
+def _is_quiet(target: Target) -> bool:
+    return target.availability.is_quiet(asyncio.get_running_loop().time())
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -17,6 +17,7 @@
 from ._clock import ClockWatch, boot_clock_s
 from ._contention import Contention
 from ._exposition import Exposition
+from ._failure_response import UNAVAILABLE
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
 from ._handler import RequestHandler
@@ -414,7 +415,7 @@
 
         A failure caused by a helper counts against the helper. Failed reservations and refusals
         do not count against the target, except for status 421, which means that another instance
-        is at its address.
+        is at its address. Neither does a 503 by which it asked this entry alone to wait.
         """
         now_s = self._loop.time()
         if outcome.blamed:
@@ -422,7 +423,8 @@
             return
         if outcome.reservation_failed:
             return
-        if outcome.delivery is Delivery.REFUSED and outcome.status != MISDIRECTED:
+        is_refused = outcome.delivery is Delivery.REFUSED and outcome.status != MISDIRECTED
+        if is_refused or (outcome.status == UNAVAILABLE and target.availability.is_quiet(now_s)):
             return
         unreachable = outcome.delivery is Delivery.UNSENT
         target.breaker.record_failure(now_s, unreachable=unreachable)
@@ -487,7 +489,7 @@
             "caller_connections": self._caller_server.open_connections,
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
-            "targets_announced_leaving": len(self._directory.announced_leaving()),
+            **self._notices.gauges(),
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
             "entries_known": len(self._subset.entries),
             "targets_used": self._subset.size,
--- a/src/cicadatiller/gateway/_retry_after.py
+++ b/src/cicadatiller/gateway/_retry_after.py
@@ -1,5 +1,6 @@
 """When callers of refused requests should come back."""
 
+import math
 import random
 import statistics
 from collections.abc import Sequence
@@ -53,6 +54,17 @@
     )
 
 
+def refused_retry_after_s(job: Job, from_s: float, now_s: float) -> float:
+    """Return the delay after which to retry a request that a target refused, in seconds.
+
+    The arguments are those of `quiet_retry_after_s`; `from_s` is infinite without a target.
+    """
+    usual_s = job.route.target_latency_s / 2
+    if now_s < from_s < math.inf:
+        return max(usual_s, quiet_retry_after_s(job, from_s, now_s))
+    return usual_s
+
+
 def _within_limits(job: Job, delay_s: float, now_s: float) -> float:
     """Return a delay within what the caller of a request can use."""
     max_delay_s = RETRY_SHARE_OF_REMAINING_TIME * (job.caller_deadline_s - now_s)
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -26,7 +26,7 @@
 from ._candidates import CandidateTargets
 from ._job import Job
 from ._prompts import describe_prompt, explain_refusal, split_work, with_remaining_time
-from ._retry_after import retry_after_s
+from ._retry_after import refused_retry_after_s, retry_after_s
 from ._waiter import (
     Grant,
     Waiter,
@@ -177,6 +177,12 @@
         self.wake()
         self._listener.work_ended(grant.work_id)
 
+    def retry_after_s(self, job: Job) -> float:
+        """Return when the caller of a request that a target refused should retry, in seconds."""
+        now_s = self._loop.time()
+        usable_from_s = self._candidates.usable_from_s(job.service, now_s)
+        return refused_retry_after_s(job, usable_from_s, now_s)
+
     def wake(self) -> None:
         """Schedule a check of the waiting requests after a change of load or targets."""
         if self._waiters:
--- a/src/cicadatiller/gateway/_target_notices.py
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -85,10 +85,21 @@
             if not target.accepts_work and self._listens(target):
                 self._pool.close_idle(target.record.address)
 
+    def gauges(self) -> dict[str, float]:
+        """Return the number of targets that state that they take no new work."""
+        now_s = self._loop.time()
+        quiet = [t for t in self._directory.targets() if t.availability.is_quiet(now_s)]
+        return {
+            "targets_announced_leaving": len(self._directory.announced_leaving()),
+            "targets_quiet": len(quiet),
+        }
+
     def _apply(self, target: Target, head: ResponseHead) -> None:
         notice = self._codec.decode_notice(head)
         if notice.is_leaving:
             self._record_leaving(target)
+        if notice.quiet_s > 0:
+            self._record_quiet(target, notice.quiet_s)
 
     def _record_leaving(self, target: Target) -> None:
         record = target.record
@@ -100,5 +111,12 @@
         self._listener.target_leaving(target)
         self._on_change()
 
+    def _record_quiet(self, target: Target, quiet_s: float) -> None:
+        now_s = self._loop.time()
+        target.availability.record_quiet(now_s, quiet_s)
+        left_s = target.availability.quiet_left_s(now_s)
+        log_event(Event.TARGET_QUIET, target=target.instance_id, quiet_s=round(left_s, 3))
+        self._on_change()
+
     def _listens(self, target: Target) -> bool:
         return self._directory.find_at(target.record.address) is target
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -1,7 +1,7 @@
 """Reserves engine memory for prompts that do not fit into one engine."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from ..fleet import Target
@@ -106,7 +106,7 @@
         held = ReservationGroup(manager=self, tickets=tuple(tickets))
         try:
             results = await asyncio.gather(
-                *(self._reserve_ticket(ticket, held) for ticket in tickets)
+                *(self._reserve_ticket(t, held, may_send=t.target.is_usable) for t in tickets)
             )
         except BaseException:
             held.may_apply_late = True
@@ -122,23 +122,32 @@
         return held
 
     async def renew(self, held: "ReservationGroup") -> None:
-        """Renew the reservations before they expire, until cancelled."""
+        """Renew the reservations before they expire, until cancelled.
+
+        Those of targets that want no requests are renewed as often as `MAX_QUIET_REQUESTS` allows.
+        """
         while True:
             await asyncio.sleep(RENEW_INTERVAL_SHARE * self._hold_s)
-            await asyncio.gather(*(self._reserve_ticket(ticket, held) for ticket in held.tickets))
+            await asyncio.gather(*(self._renew_ticket(ticket, held) for ticket in held.tickets))
 
     async def release(self, ticket: Ticket, *, may_apply_late: bool) -> None:
         """Release a reservation and make sure that it stays released.
 
         An order without a response may be applied seconds later. If there was one, or the release
         is not confirmed, the engine's reports are checked for `LATE_ORDER_WINDOW_S`, and a
-        reservation that appears there is released again.
+        reservation that appears there is released again. The order waits until the target takes
+        requests again; without it the reservation expires as soon as if this entry had failed.
         """
         loop = asyncio.get_running_loop()
+        if not await self._wait_until_sendable(ticket.target):
+            log_event(Event.GANG_RELEASED, ticket=ticket.name, confirmed=False)
+            return
         confirmed = await self._orders.release(ticket.address, ticket.name)
         deadline_s = loop.time() + (LATE_ORDER_WINDOW_S if may_apply_late or not confirmed else 0.0)
         while loop.time() < deadline_s:
             await asyncio.sleep(LATE_ORDER_CHECK_INTERVAL_S)
+            if not ticket.target.is_usable(loop.time()):
+                continue
             report = await self._orders.report(ticket.address)
             if report is not None and ticket.name in report.tickets:
                 confirmed = await self._orders.release(ticket.address, ticket.name)
@@ -153,10 +162,35 @@
         """Start a task that renews the reservations until it is cancelled."""
         return self._tasks.start(self.renew(held), name="renew tickets")
 
-    async def _reserve_ticket(self, ticket: Ticket, held: "ReservationGroup") -> ReserveResult:
-        """Reserve or renew one ticket; retries are idempotent because they repeat its name."""
+    async def _renew_ticket(self, ticket: Ticket, held: "ReservationGroup") -> None:
+        may_send = ticket.target.availability.try_send_for_running_work
+        await self._reserve_ticket(ticket, held, may_send=may_send)
+
+    async def _wait_until_sendable(self, target: Target) -> bool:
+        """Wait until a target takes requests; return False if reservations expire before that."""
+        loop = asyncio.get_running_loop()
+        expires_at_s = loop.time() + self._hold_s
+        while left_s := target.availability.quiet_left_s(loop.time()):
+            if loop.time() + left_s >= expires_at_s:
+                return False
+            await asyncio.sleep(left_s)
+        return True
+
+    async def _reserve_ticket(
+        self, ticket: Ticket, held: "ReservationGroup", *, may_send: Callable[[float], bool]
+    ) -> ReserveResult:
+        """Reserve or renew one ticket; retries are idempotent because they repeat its name.
+
+        Args:
+            ticket: The ticket.
+            held: The reservations of its request.
+            may_send: Returns whether the order may be sent to the target at a loop time.
+        """
+        loop = asyncio.get_running_loop()
         result = ReserveResult.UNKNOWN
         for _ in range(MAX_RESERVE_ATTEMPTS):
+            if not may_send(loop.time()):
+                break
             result = await self._orders.reserve(
                 ticket.address, ticket.name, tokens=ticket.tokens, hold_s=self._hold_s
             )
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -42,6 +42,7 @@
     CANCEL_RETRIED = (402, "info", "A cancel was not confirmed and was sent again.")
     TARGET_FAILED = (404, "warning", "An attempt at a target failed and was not retried.")
     TARGET_PACE = (405, "info", "A target's slowdown factor against its model changed.")
+    TARGET_QUIET = (406, "info", "A target wants no requests from this entry for some time.")
     ORPHAN_CANCELLED = (403, "warning", "A stream or export without an owner was removed.")
     GANG_RESERVED = (410, "info", "A gang of engines was reserved for one prompt.")
     GANG_RELEASED = (411, "info", "A gang of engines was released.")
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -3,6 +3,7 @@
 This module maps the platform's header names to fields of the project.
 """
 
+import re
 from collections.abc import Iterable
 
 from ..egress import ResponseHead, render_request
@@ -35,6 +36,9 @@
 LEAVING = b"server-leaving"
 LEAVING_VALUE = b"1"
 RETRY_AFTER = b"Retry-After"
+# In a target's response, only seconds count: a date depends on the clocks of two instances.
+SECONDS_PATTERN = re.compile(rb"\d+(\.\d+)?")
+UNAVAILABLE = 503
 
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -113,7 +117,10 @@
 
     def decode_notice(self, head: ResponseHead) -> TargetNotice:
         """Decode what the target states about itself; unreadable fields get their defaults."""
-        return TargetNotice(is_leaving=(head.find(LEAVING) or b"").strip() == LEAVING_VALUE)
+        return TargetNotice(
+            is_leaving=(head.find(LEAVING) or b"").strip() == LEAVING_VALUE,
+            quiet_s=_parse_quiet_s(head),
+        )
 
     def blamed_address(self, head: ResponseHead) -> str:
         """Return the address of the target at fault for a refusal; empty if not stated."""
@@ -151,6 +158,14 @@
     return frozenset(part.strip().lower() for value in listed for part in value.split(b","))
 
 
+def _parse_quiet_s(head: ResponseHead) -> float:
+    """Return the seconds of Retry-After in a 503; 0 if it is missing or no plain number."""
+    value = (head.find(RETRY_AFTER.lower()) or b"").strip()
+    if head.status != UNAVAILABLE or SECONDS_PATTERN.fullmatch(value) is None:
+        return 0.0
+    return float(value)
+
+
 def _parse_host_name(value: bytes) -> str:
     name = value.decode("latin-1").strip().lower()
     return name.rpartition(":")[0] if ":" in name else name
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -146,7 +146,7 @@
             (refused because of that helper), "unsure" (status 503 without a statement that it did
             not run), "hang", "reset", "lose" (run, then reset), "error"
             (run, then status 500), the number of events after which the stream is aborted, or
-            None to serve it.
+            None to serve it. May be a coroutine function.
     """
 
     def __init__(self, instance_id, *, zone="north-a", service="pool", work_s=0.02, events=5):
@@ -216,8 +216,7 @@
         if len(headers.get("helpers", "").split(",")) > MAX_LISTED_ENGINES:
             await self._refuse(headers, 400, responder)
             return
-        self.request_count += 1
-        step = self.script(headers, self.request_count) if self.script else None
+        step = await self._next_step(headers)
         if step == "hang":
             await asyncio.sleep(3600)
         elif step == "reset":
@@ -231,6 +230,12 @@
         else:
             await self._run(request, headers, step, responder)
 
+    async def _next_step(self, headers):
+        """Count a request and return what its script does."""
+        self.request_count += 1
+        step = self.script(headers, self.request_count) if self.script else None
+        return await step if asyncio.iscoroutine(step) else step
+
     def _statements(self, status):
         """Return the headers in which the target speaks of itself."""
         headers = ((b"Server-Leaving", b"1"),) if self.is_leaving else ()
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -36,8 +36,8 @@
         self.events.append(("ended", work_id))
 
 
-def make_scheduler(*, targets, listener=None):
-    directory = TargetDirectory()
+def make_scheduler(*, targets, listener=None, directory=None):
+    directory = directory or TargetDirectory()
     for number in range(targets):
         directory.put(
             TargetRecord(
@@ -292,6 +292,43 @@
         # The resumed stream is late already, so a request that can be on time is placed first.
         self.assertFalse(self.run_paused(scenario()))
 
+    def refusal(self, prepare, **options):
+        """Return the failure of a request after `prepare` of two targets, and the time it took."""
+
+        async def scenario():
+            directory = TargetDirectory()
+            scheduler = make_scheduler(targets=2, directory=directory)
+            loop = asyncio.get_running_loop()
+            begin_s = loop.time()
+            prepare(*directory.targets(), begin_s)
+            with self.assertRaises(FailureError) as caught:
+                await scheduler.acquire(make_job("r"), **options)
+            return caught.exception.failure, loop.time() - begin_s
+
+        return self.run_paused(scenario())
+
+    def test_request_whose_only_target_wants_no_requests_is_refused_at_once(self):
+        def prepare(first, _, now_s):
+            first.availability.record_quiet(now_s, 3.0)
+
+        failure, taken_s = self.refusal(prepare, only=frozenset({"t0"}))
+        self.assertEqual((failure.kind, taken_s), (ErrorKind.OVERLOADED, 0.0))
+        self.assertGreaterEqual(failure.retry_after_s, 3.0)
+
+    def test_request_whose_only_target_has_left_is_refused_at_once(self):
+        def prepare(first, _, now_s):
+            first.availability.has_announced_leaving = True
+
+        failure, taken_s = self.refusal(prepare, only=frozenset({"t0"}))
+        self.assertEqual((failure.kind, taken_s), (ErrorKind.NO_TARGET, 0.0))
+
+    def test_tried_target_that_wants_no_requests_does_not_come_back_as_the_last_one(self):
+        def prepare(first, second, now_s):
+            second.availability.record_quiet(now_s, 3.0)
+
+        failure, taken_s = self.refusal(prepare, excluded=("t0",))
+        self.assertEqual((failure.kind, taken_s), (ErrorKind.NO_TARGET, 0.0))
+
     def test_request_without_targets_is_refused_at_once(self):
         async def scenario():
             scheduler = make_scheduler(targets=0)
