--- a/tests/test_quiet_targets.py
+++ b/tests/test_quiet_targets.py
@@ -4,11 +4,14 @@
 import unittest
 
 from cicadatiller import fleet as fleet_package
-from cicadatiller.egress import ResponseHead
+from cicadatiller.egress import ConnectionLostError, ResponseHead
 from cicadatiller.fleet import TargetDirectory, TargetRecord, TargetState
+from cicadatiller.gateway._redialer import Redialer
+from cicadatiller.kernel import TaskSet
 from cicadatiller.platform import PlatformHeaders
 
 from .support.gateways import GatewayCase, configuration, route
+from .support.paused_loop import PausedCase
 
 BURST = 12
 LONG_PROMPT = (500_000, 400)
@@ -30,6 +33,22 @@
     target.script = None
 
 
+def make_directory(*names):
+    directory = TargetDirectory()
+    for name in names:
+        directory.put(
+            TargetRecord(
+                instance_id=name,
+                service="pool",
+                address=f"{name}:80",
+                data_centre="c0",
+                slots=8,
+                state=TargetState.READY,
+            )
+        )
+    return directory
+
+
 class QuietCase(GatewayCase):
     def received_since(self, target, since_s):
         return [path for time_s, path in target.received if time_s > since_s]
@@ -59,13 +78,14 @@
             serve(quiet)
             replies += await self.load(fleet, "safe", 3.0, interval_s=0.01)
             within = self.received_since(quiet, since_s)
+            counted = fleet.gateways[0]._gauges()["targets_quiet"]
             await asyncio.sleep(0.6)
             replies += await fleet.ask_many(BURST)
-            return replies, within, len(self.received_since(quiet, since_s))
+            return replies, within, counted, len(self.received_since(quiet, since_s))
 
-        replies, within, later = self.run_scenario(scenario)
+        replies, within, counted, later = self.run_scenario(scenario)
         self.assert_served(replies)
-        self.assertEqual(within, [])
+        self.assertEqual((within, counted), ([], 1))
         self.assertGreater(later, 0)
 
     def check_requests_in_quiet_times(self, kind, service, *, quiet_s, step=503):
@@ -297,6 +317,53 @@
         self.assertEqual(tickets, [{}] * 4)
 
 
+class RefusingPool:
+    """A connection pool that opens nothing.
+
+    Attributes:
+        dialled: The addresses that it was asked to connect to.
+    """
+
+    def __init__(self):
+        self.dialled = []
+
+    async def open(self, address, *, timeout_s):
+        self.dialled.append(address)
+        raise ConnectionLostError("refused")
+
+
+class RedialTest(PausedCase):
+    def dialled(self, prepare):
+        """Return what is dialled within a second of two unreachable targets after `prepare`."""
+
+        async def scenario():
+            now_s = asyncio.get_running_loop().time()
+            directory = make_directory("t1", "t2")
+            for target in directory.targets():
+                target.breaker.record_failure(now_s, unreachable=True)
+            prepare(directory.find("t1"), now_s)
+            pool, tasks = RefusingPool(), TaskSet()
+            redialer = Redialer(directory=directory, pool=pool, tasks=tasks)
+            tasks.start(redialer.run(), name="redialer")
+            await asyncio.sleep(1.0)
+            await tasks.close()
+            return set(pool.dialled)
+
+        return self.run_paused(scenario())
+
+    def test_unreachable_target_that_wants_no_requests_is_not_dialled(self):
+        def prepare(target, now_s):
+            target.availability.record_quiet(now_s, 5.0)
+
+        self.assertEqual(self.dialled(prepare), {"t2:80"})
+
+    def test_unreachable_target_that_leaves_is_not_dialled(self):
+        def prepare(target, now_s):
+            target.availability.has_announced_leaving = True
+
+        self.assertEqual(self.dialled(prepare), {"t2:80"})
+
+
 class DecodingTest(unittest.TestCase):
     def decode(self, value, *, status=503):
         headers = () if value is None else ((b"Retry-After", value),)
@@ -325,19 +392,7 @@
 
 class AvailabilityTest(unittest.TestCase):
     def setUp(self):
-        directory = TargetDirectory()
-        for name in ("t1", "t2"):
-            directory.put(
-                TargetRecord(
-                    instance_id=name,
-                    service="pool",
-                    address=f"{name}:80",
-                    data_centre="c0",
-                    slots=8,
-                    state=TargetState.READY,
-                )
-            )
-        self.quiet, self.other = directory.targets()
+        self.quiet, self.other = make_directory("t1", "t2").targets()
         self.quiet.availability.record_quiet(10.0, 5.0)
 
     def test_quiet_target_does_not_come_back_when_all_others_are_ejected(self):
