A statement that arrives after the registration was removed is kept for it

A head that is read just after a target's registration expired was lost: the directory kept the run, but marked a run only if it did not know it. The test failed before.

--- a/src/cicadatiller/fleet/_directory.py
+++ b/src/cicadatiller/fleet/_directory.py
@@ -137,7 +137,7 @@
         self.revision += 1
         # Without a start time, a later run could not be told from this one.
         if target.record.started_ms:
-            self._remember(instance_id, target.record.started_ms, target.availability)
+            self._remember(instance_id, _unregistered(target))
         log_event(Event.INSTANCE_GONE, name=instance_id, reason=reason)
         return True
 
@@ -151,7 +151,7 @@
         """
         target = self._targets.get(instance_id)
         if target is None or target.record.started_ms < started_ms:
-            return self._record_unregistered_leaving(instance_id, started_ms)
+            return self._record_unregistered_leaving(instance_id, started_ms, source)
         if target.record.started_ms > started_ms or target.availability.has_announced_leaving:
             return False
         target.availability.has_announced_leaving = True
@@ -172,7 +172,7 @@
         made the statement is the one that listens.
         """
         if known is not None and known.record.started_ms > record.started_ms > 0:
-            self._remember(record.instance_id, known.record.started_ms, known.availability)
+            self._remember(record.instance_id, _unregistered(known))
         run = self._unregistered.get(record.instance_id)
         if run is None or record.started_ms > run.started_ms:
             self._unregistered.pop(record.instance_id, None)
@@ -181,22 +181,26 @@
             del self._unregistered[record.instance_id]
         return run.availability
 
-    def _record_unregistered_leaving(self, instance_id: str, started_ms: int) -> bool:
+    def _record_unregistered_leaving(self, instance_id: str, started_ms: int, source: str) -> bool:
         run = self._unregistered.get(instance_id)
-        if run is not None and run.started_ms >= started_ms:
+        if run is None or run.started_ms < started_ms:
+            run = _UnregisteredRun(started_ms=started_ms, availability=Availability())
+            self._remember(instance_id, run)
+        if run.started_ms > started_ms or run.availability.has_announced_leaving:
             return False
-        availability = Availability()
-        availability.has_announced_leaving = True
-        self._remember(instance_id, started_ms, availability)
+        run.availability.has_announced_leaving = True
+        log_event(Event.TARGET_LEAVING, name=instance_id, source=source)
         return True
 
-    def _remember(self, instance_id: str, started_ms: int, availability: Availability) -> None:
-        run = self._unregistered.get(instance_id)
-        if run is not None and run.started_ms > started_ms:
+    def _remember(self, instance_id: str, run: _UnregisteredRun) -> None:
+        known = self._unregistered.get(instance_id)
+        if known is not None and known.started_ms > run.started_ms:
             return
-        self._unregistered[instance_id] = _UnregisteredRun(
-            started_ms=started_ms, availability=availability
-        )
+        self._unregistered[instance_id] = run
         self._unregistered.move_to_end(instance_id)
         if len(self._unregistered) > MAX_UNREGISTERED_RUNS:
             self._unregistered.popitem(last=False)
+
+
+def _unregistered(target: Target) -> _UnregisteredRun:
+    return _UnregisteredRun(started_ms=target.record.started_ms, availability=target.availability)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -387,6 +387,13 @@
         self.directory.remove("t1", "test")
         self.assertFalse(self.put(started_ms=BORN_MS + 7).accepts_work)
 
+    def test_statement_after_the_registration_was_removed_is_kept_for_it(self):
+        self.put()
+        self.directory.remove("t1", "test")
+        self.assertTrue(self.directory.record_leaving("t1", BORN_MS, source="test"))
+        self.assertFalse(self.directory.record_leaving("t1", BORN_MS, source="peer"))
+        self.assertFalse(self.put().accepts_work)
+
     def test_run_without_a_start_time_is_a_later_one_once_its_registration_was_removed(self):
         self.put(started_ms=0)
         self.directory.record_leaving("t1", 0, source="test")
