--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -10,6 +10,7 @@
 from ..kernel import Event, log_event
 from ..routes import RouteKind
 from ._events import EventTooLongError
+from ._failure_response import UNAVAILABLE
 from ._job import Job
 from ._liveness import TargetUnresponsiveError, read_with_liveness_check
 from ._metrics import GatewayMetrics
@@ -17,7 +18,7 @@
 from ._progress import Progress
 from ._scheduler import Scheduler
 from ._stream import StreamRelay
-from ._tickets import ReservationError, ReservationGroup, ReservationManager
+from ._tickets import ReservationError, ReservationGroup, ReservationManager, check_usable
 from ._waiter import Grant
 from ._wire import TargetFields, WireCodec
 
@@ -48,6 +49,7 @@
         scheduler: Is told of first events, calls and the end of each attempt.
         reservations: Reserves memory on helpers.
         metrics: Records latencies.
+        on_head: Called with the target and each response head that it sent.
         is_alive: Runs a liveness check of an engine.
     """
 
@@ -56,6 +58,7 @@
     scheduler: Scheduler
     reservations: ReservationManager
     metrics: GatewayMetrics
+    on_head: Callable[[Target, ResponseHead], None]
     is_alive: Callable[[Target], Awaitable[bool]]
 
 
@@ -159,6 +162,7 @@
 
     async def _reserve(self) -> ReservationGroup | None:
         grant = self.grant
+        check_usable((grant.host, *grant.helpers), self._now_s())
         if grant.placement is None or not grant.placement.shares:
             return None
         targets = {member.instance_id: member for member in (grant.host, *grant.helpers)}
@@ -170,11 +174,19 @@
 
     async def _connect(self) -> EgressConnection:
         pool = self._services.pool
-        return await pool.acquire(
+        members = (self.grant.host, *self.grant.helpers)
+        check_usable(members, self._now_s())
+        connection = await pool.acquire(
             self.grant.host.record.address,
             max_idle_s=None if self._job.route.is_idempotent else UNSAFE_MAX_IDLE_S,
             timeout_s=pool.connect_timeout.timeout_s,
         )
+        try:
+            check_usable(members, self._now_s())
+        except ReservationError:
+            pool.release(connection)
+            raise
+        return connection
 
     async def _exchange(self, connection: EgressConnection) -> AttemptOutcome:
         codec = self._services.codec
@@ -193,6 +205,7 @@
         try:
             if self._head is None:
                 self._head = await self._read_head(connection)
+                self._services.on_head(self.grant.host, self._head)
             return await self._read_rest(connection, self._head)
         except TargetUnresponsiveError as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error), is_silent=True)
@@ -281,8 +294,13 @@
         answer = Response(status=head.status, headers=codec.caller_headers(head), body=body)
         if head.status >= FIRST_SERVER_ERROR:
             reason = f"target failed with status {head.status}"
+            # An entry's 503 states that the request did not run, which this one does not.
+            is_passed_on = head.status != UNAVAILABLE
             return AttemptOutcome(
-                delivery=Delivery.FAILED, reason=reason, status=head.status, answer=answer
+                delivery=Delivery.FAILED,
+                reason=reason,
+                status=head.status,
+                answer=answer if is_passed_on else None,
             )
         if head.status < FIRST_NON_SUCCESS and not codec.has_signature(head):
             return AttemptOutcome(delivery=Delivery.LOST, reason="response has no target signature")
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from ..egress import ConnectionPool
+from ..egress import ConnectionPool, ResponseHead
 from ..fleet import Target
 from ..ingress import Responder
 from ..kernel import ErrorKind, FailureError, RunState, fail
@@ -43,6 +43,7 @@
         budget: RetryBudget,
         metrics: GatewayMetrics,
         on_failure: Callable[[Target, AttemptOutcome], None],
+        on_head: Callable[[Target, ResponseHead], None],
         is_alive: Callable[[Target], Awaitable[bool]],
     ) -> None:
         attempts = AttemptServices(
@@ -51,6 +52,7 @@
             scheduler=scheduler,
             reservations=tickets,
             metrics=metrics,
+            on_head=on_head,
             is_alive=is_alive,
         )
         self._budget = budget
--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -58,7 +58,12 @@
                 self._tasks.start(self._probe(target), name=f"report of {target.instance_id}")
 
     async def is_alive(self, target: Target) -> bool:
-        """Return whether an engine responds to a liveness check; concurrent checks share one call."""
+        """Return whether an engine responds to a liveness check; concurrent checks share one call.
+
+        One that wants no requests has lately responded, and counts as alive.
+        """
+        if _is_quiet(target):
+            return True
         check = self._pending_checks.get(target.instance_id)
         if check is None:
             check = asyncio.get_running_loop().create_task(self._run_liveness_check(target))
@@ -68,6 +73,8 @@
 
     async def _run_liveness_check(self, target: Target) -> bool:
         report = await self._orders.report(target.record.address)
+        if report is None and _is_quiet(target):
+            return True
         if report is None:
             self._on_unresponsive(target)
             return False
@@ -75,10 +82,11 @@
         return True
 
     def _assigned_targets(self) -> list[Target]:
+        now_s = asyncio.get_running_loop().time()
         return [
             target
             for target in self._directory.targets()
-            if target.accepts_work
+            if target.is_usable(now_s)
             and not target.breaker.is_unreachable
             and self._is_engine(target.record.service)
             and self._name == self._responsible_entry(target)
@@ -93,3 +101,7 @@
 
     async def _probe(self, target: Target) -> None:
         await self.is_alive(target)
+
+
+def _is_quiet(target: Target) -> bool:
+    return target.availability.is_quiet(asyncio.get_running_loop().time())
--- a/src/cicadatiller/gateway/_request_forwarding.py
+++ b/src/cicadatiller/gateway/_request_forwarding.py
@@ -92,7 +92,8 @@
                     await self._responder.answer(last.answer)
                     return last
                 if self._next_step is not NextStep.RETRY and not self._is_beside_silent:
-                    raise _error_for_step(self._next_step, last, self._job)
+                    retry_after_s = self._scheduler.retry_after_s(self._job)
+                    raise _error_for_step(self._next_step, last, retry_after_s)
         finally:
             self._close_all()
 
@@ -281,12 +282,14 @@
     task.add_done_callback(close)
 
 
-def _error_for_step(step: NextStep | None, outcome: AttemptOutcome, job: Job) -> FailureError:
+def _error_for_step(
+    step: NextStep | None, outcome: AttemptOutcome, retry_after_s: float
+) -> FailureError:
     if step is not NextStep.REFUSE:
         return fail(ErrorKind.TARGET_LOST, outcome.reason, run_state=RunState.OUTCOME_UNKNOWN)
     return fail(
         ErrorKind.TARGET_REFUSED,
         outcome.reason,
         run_state=RunState.NOT_RUN,
-        retry_after_s=job.route.target_latency_s / 2,
+        retry_after_s=retry_after_s,
     )
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -26,7 +26,7 @@
 from ._candidates import CandidateTargets
 from ._job import Job
 from ._prompts import describe_prompt, explain_refusal, split_work, with_remaining_time
-from ._retry_after import retry_after_s
+from ._retry_after import refused_retry_after_s, retry_after_s
 from ._waiter import (
     Grant,
     Waiter,
@@ -177,6 +177,12 @@
         self.wake()
         self._listener.work_ended(grant.work_id)
 
+    def retry_after_s(self, job: Job) -> float:
+        """Return when the caller of a request that a target refused should retry, in seconds."""
+        now_s = self._loop.time()
+        usable_from_s = self._candidates.usable_from_s(job.service, now_s)
+        return refused_retry_after_s(job, usable_from_s, now_s)
+
     def wake(self) -> None:
         """Schedule a check of the waiting requests after a change of load or targets."""
         if self._waiters:
@@ -282,11 +288,12 @@
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
         job = waiter.job
-        loads = self._candidates.loads(job.service)
+        now_s = self._loop.time()
+        loads = self._candidates.loads(job.service, now_s)
         return fail(
             ErrorKind.OVERLOADED,
             f"the targets of service {job.service} are overloaded: {reason}",
-            retry_after_s=retry_after_s(job, loads, self._backlog(waiter), self._loop.time()),
+            retry_after_s=retry_after_s(job, loads, self._backlog(waiter), now_s),
         )
 
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
@@ -352,7 +359,7 @@
         """Return the expected demand for a service, cached for `DEMAND_MAX_AGE_S`."""
         cached = self._demands.get(service)
         if cached is None or now_s - cached.computed_at_s >= DEMAND_MAX_AGE_S:
-            loads = self._candidates.loads(service)
+            loads = self._candidates.loads(service, now_s)
             waiting = [w.prompt for w in self._waiters if w.job.service == service and w.prompt]
             demand = expected_demand(loads, waiting, model, now_s)
             cached = _CachedDemand(demand=demand, computed_at_s=now_s)
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -1,6 +1,7 @@
 """Reserves engine memory for prompts that do not fit into one engine."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..fleet import Target
@@ -53,6 +54,22 @@
         self.failed_targets = failed_targets
 
 
+class TargetsWithdrawnError(ReservationError):
+    """Targets of a request stopped taking new work before it was sent."""
+
+
+def check_usable(targets: Sequence[Target], now_s: float) -> None:
+    """Check that new work may be sent to all targets of a request.
+
+    Raises:
+        TargetsWithdrawnError: If some of them leave, or want no requests, since it was placed.
+    """
+    withdrawn = tuple(target for target in targets if not target.is_usable(now_s))
+    if withdrawn:
+        names = ", ".join(target.instance_id for target in withdrawn)
+        raise TargetsWithdrawnError(f"{names} stopped taking new work", withdrawn)
+
+
 class ReservationManager:
     """Makes reservations, renews them while they are in use, and releases them.
 
@@ -106,28 +123,35 @@
         return held
 
     async def renew(self, held: "ReservationGroup") -> None:
-        """Renew the reservations before they expire, until cancelled."""
+        """Renew the reservations before they expire, until cancelled.
+
+        Those of targets that want no requests are renewed as often as `MAX_QUIET_REQUESTS` allows.
+        """
         await asyncio.gather(*(self._keep_renewed(ticket, held) for ticket in held.tickets))
 
     async def _keep_renewed(self, ticket: Ticket, held: "ReservationGroup") -> None:
         while True:
             await asyncio.sleep(RENEW_INTERVAL_SHARE * self._hold_s)
-            # After a whole interval more the reservation would have expired.
-            while await self._send_reserve(ticket, held) is ReserveResult.UNKNOWN:
-                await asyncio.sleep(RENEW_RETRY_DELAY_S)
+            await self._renew_ticket(ticket, held)
 
     async def release(self, ticket: Ticket, *, may_apply_late: bool) -> None:
         """Release a reservation and make sure that it stays released.
 
         An order without a response may be applied seconds later. If there was one, or the release
         is not confirmed, the engine's reports are checked for `LATE_ORDER_WINDOW_S`, and a
-        reservation that appears there is released again.
+        reservation that appears there is released again. The order waits until the target takes
+        requests again; without it the reservation expires as soon as if this entry had failed.
         """
         loop = asyncio.get_running_loop()
+        if not await self._wait_until_sendable(ticket.target):
+            log_event(Event.GANG_RELEASED, ticket=ticket.name, confirmed=False)
+            return
         confirmed = await self._orders.release(ticket.address, ticket.name)
         deadline_s = loop.time() + (LATE_ORDER_WINDOW_S if may_apply_late or not confirmed else 0.0)
         while loop.time() < deadline_s:
             await asyncio.sleep(LATE_ORDER_CHECK_INTERVAL_S)
+            if not ticket.target.is_usable(loop.time()):
+                continue
             report = await self._orders.report(ticket.address)
             if report is not None and ticket.name in report.tickets:
                 confirmed = await self._orders.release(ticket.address, ticket.name)
@@ -142,10 +166,31 @@
         """Start a task that renews the reservations until it is cancelled."""
         return self._tasks.start(self.renew(held), name="renew tickets")
 
+    async def _renew_ticket(self, ticket: Ticket, held: "ReservationGroup") -> None:
+        """Renew one ticket until the engine answers; after a whole interval more it would expire."""
+        loop = asyncio.get_running_loop()
+        while ticket.target.availability.try_send_for_running_work(loop.time()):
+            if await self._send_reserve(ticket, held) is not ReserveResult.UNKNOWN:
+                return
+            await asyncio.sleep(RENEW_RETRY_DELAY_S)
+
+    async def _wait_until_sendable(self, target: Target) -> bool:
+        """Wait until a target takes requests; return False if reservations expire before that."""
+        loop = asyncio.get_running_loop()
+        expires_at_s = loop.time() + self._hold_s
+        while left_s := target.availability.quiet_left_s(loop.time()):
+            if loop.time() + left_s >= expires_at_s:
+                return False
+            await asyncio.sleep(left_s)
+        return True
+
     async def _reserve_ticket(self, ticket: Ticket, held: "ReservationGroup") -> ReserveResult:
         """Reserve one ticket; retries are idempotent because they repeat its name."""
+        loop = asyncio.get_running_loop()
         result = ReserveResult.UNKNOWN
         for _ in range(MAX_RESERVE_ATTEMPTS):
+            if not ticket.target.is_usable(loop.time()):
+                break
             result = await self._send_reserve(ticket, held)
             is_lost = result is ReserveResult.UNKNOWN
             self.loss_rate += LOSS_RATE_GAIN * (is_lost - self.loss_rate)
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -49,6 +49,7 @@
         "No other target can take a request, so a silent one is awaited.",
     )
     TARGET_PACE = (405, "info", "A target's slowdown factor against its model changed.")
+    TARGET_QUIET = (407, "info", "A target wants no requests from this entry for some time.")
     ORPHAN_CANCELLED = (403, "warning", "A stream or export without an owner was removed.")
     GANG_RESERVED = (410, "info", "A gang of engines was reserved for one prompt.")
     GANG_RELEASED = (411, "info", "A gang of engines was released.")
