Soak: real entries under faults that are drawn from a seed

Entries were struck by faults in-process only. bench/soak starts them as processes of their own, with store, targets, relays and callers in the soak's process, and checks what callers, targets and the store saw.

--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,236 @@
+"""Callers that keep using open connections and come back after refusals."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from bench.soak.client import Answer, Connection
+from bench.soak.configuration import MOVING_PATH, SPARE_KEY, TOGGLED_PATH
+from bench.soak.entries import FRONT_PORT, EntryProcess
+from bench.soak.record import Attempt
+from tests.support.gateways import HOST, KEY
+
+CALL_DEADLINE_S = 3.0
+STREAM_DEADLINE_S = 6.0
+CONNECT_TIMEOUT_S = 1.0
+# How long a caller waits beyond its deadline for the end of a request, so that the end is seen.
+OVERDUE_S = 1.5
+MAX_RETRIES = 2
+MAX_WAIT_SHARE = 1 / 3
+REFUSALS = frozenset({408, 421, 429, 503})
+PROMPT_TOKENS = (1500, 60_000)
+# Beyond the memory of one engine, so that several serve it.
+GANG_TOKENS = 150_000
+OUTPUT_TOKENS = 80
+IMPATIENT_SHARE = 0.2
+LEAVE_SHARE = 0.06
+SPARE_KEY_SHARE = 0.15
+MAX_THOUGHT_S = 0.5
+LONG_THOUGHT_SHARE = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ask:
+    """What a caller asks for."""
+
+    kind: str
+    path: str
+    prompt_tokens: int = 0
+
+
+ASKS = {
+    Ask(kind="safe", path="/safe/x"): 20,
+    Ask(kind="unsafe", path="/unsafe/x"): 25,
+    Ask(kind="stream", path="/stream/x", prompt_tokens=PROMPT_TOKENS[0]): 25,
+    Ask(kind="stream", path="/stream/x", prompt_tokens=PROMPT_TOKENS[1]): 6,
+    Ask(kind="stream", path="/stream/x", prompt_tokens=GANG_TOKENS): 3,
+    Ask(kind="safe", path=MOVING_PATH): 10,
+    Ask(kind="safe", path=TOGGLED_PATH): 10,
+}
+
+
+class Callers:
+    """The callers of a run.
+
+    Args:
+        entries: The entries.
+        seed: Seeds what each caller asks for.
+        usable_idle_s: Returns for how long a connection may be unused before it is given up.
+
+    Attributes:
+        attempts: All requests that were sent.
+        strays: The bytes that came without a request, with the number of the entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: Sequence[EntryProcess],
+        seed: int,
+        usable_idle_s: Callable[[], float],
+    ) -> None:
+        self.attempts: list[Attempt] = []
+        self.strays: list[tuple[int, bytes]] = []
+        self._entries = entries
+        self._seed = seed
+        self._usable_idle_s = usable_idle_s
+        self._ids = itertools.count(1)
+
+    async def run(self, callers: int, load_s: float) -> None:
+        """Send requests until the load ends and all of them have ended."""
+        end_s = asyncio.get_running_loop().time() + load_s
+        await asyncio.gather(*(self._call(number, end_s) for number in range(callers)))
+
+    async def _call(self, number: int, end_s: float) -> None:
+        caller = _Caller(
+            rng=random.Random(f"{self._seed}/{number}"),
+            entries=self._entries,
+            attempts=self.attempts,
+            strays=self.strays,
+            usable_idle_s=self._usable_idle_s,
+            ids=self._ids,
+        )
+        await caller.run(end_s)
+
+
+class _Caller:
+    """One caller, with one connection and one request at a time."""
+
+    def __init__(self, *, rng, entries, attempts, strays, usable_idle_s, ids) -> None:
+        self._rng = rng
+        self._entries = entries
+        self._attempts = attempts
+        self._strays = strays
+        self._usable_idle_s = usable_idle_s
+        self._ids = ids
+        self._loop = asyncio.get_running_loop()
+        self._connection: Connection | None = None
+        self._entry = 0
+        self._is_impatient = rng.random() < IMPATIENT_SHARE
+
+    async def run(self, end_s: float) -> None:
+        while self._loop.time() < end_s:
+            ask = self._rng.choices(list(ASKS), list(ASKS.values()))[0]
+            await self._serve(ask)
+            await asyncio.sleep(self._draw_thought_s())
+        self._drop_connection()
+
+    def _draw_thought_s(self) -> float:
+        if self._rng.random() < LONG_THOUGHT_SHARE:
+            return self._rng.uniform(MAX_THOUGHT_S, self._usable_idle_s())
+        return self._rng.uniform(0.0, MAX_THOUGHT_S)
+
+    async def _serve(self, ask: Ask) -> None:
+        """Send a request, again after some failures, until it is answered or out of time."""
+        wait_s = STREAM_DEADLINE_S if ask.kind == "stream" else CALL_DEADLINE_S
+        deadline_s = self._loop.time() + wait_s
+        key = SPARE_KEY if self._rng.random() < SPARE_KEY_SHARE else KEY
+        leave_s = self._rng.uniform(0, 1) if self._rng.random() < LEAVE_SHARE else None
+        for _ in range(1 + MAX_RETRIES):
+            if self._loop.time() >= deadline_s:
+                return
+            attempt = await self._attempt(ask, key, deadline_s, leave_s)
+            if attempt is not None and not self._may_repeat(ask, attempt):
+                return
+            self._drop_connection()
+            await asyncio.sleep(self._wait_before_retry_s(attempt, deadline_s))
+
+    def _may_repeat(self, ask: Ask, attempt: Attempt) -> bool:
+        if attempt.has_left:
+            return False
+        if attempt.status in REFUSALS:
+            return True
+        return ask.kind == "safe" and (not attempt.is_whole or attempt.status >= 500)
+
+    def _wait_before_retry_s(self, attempt: Attempt | None, deadline_s: float) -> float:
+        if attempt is None or attempt.retry_after_s is None:
+            return 0.1
+        if self._is_impatient:
+            return 0.0
+        remaining_s = max(0.0, deadline_s - self._loop.time())
+        return min(attempt.retry_after_s, MAX_WAIT_SHARE * remaining_s)
+
+    async def _attempt(
+        self, ask: Ask, key: str, deadline_s: float, leave_s: float | None
+    ) -> Attempt | None:
+        """Send a request once; return None if no connection could be opened."""
+        connection = await self._connect()
+        if connection is None:
+            return None
+        attempt = Attempt(
+            request_id=f"a{next(self._ids)}",
+            kind=ask.kind,
+            path=ask.path,
+            key=key,
+            entry=self._entry,
+            sent_s=self._loop.time(),
+            deadline_s=deadline_s,
+        )
+        self._attempts.append(attempt)
+        connection.start(_render(ask, attempt))
+        wait_s = deadline_s - attempt.sent_s + OVERDUE_S if leave_s is None else leave_s
+        try:
+            async with asyncio.timeout(wait_s):
+                await connection.wait()
+        except TimeoutError:
+            attempt.has_left = True
+            attempt.is_overdue = leave_s is None
+        self._finish(attempt, connection.answer)
+        return attempt
+
+    def _finish(self, attempt: Attempt, answer: Answer) -> None:
+        attempt.ended_s = self._loop.time()
+        attempt.status = answer.status
+        attempt.is_whole = answer.is_whole
+        attempt.body = answer.body
+        attempt.signature = answer.headers.get("server-seal", "")
+        after = answer.headers.get("retry-after")
+        attempt.retry_after_s = None if after is None else float(after)
+        if attempt.has_left or answer.closes or not answer.is_whole:
+            self._drop_connection()
+
+    async def _connect(self) -> Connection | None:
+        connection = self._connection
+        if connection is not None:
+            idle_s = self._loop.time() - connection.last_used_s
+            if connection.is_open and idle_s <= self._usable_idle_s():
+                return connection
+            self._drop_connection()
+        rotation = [entry for entry in self._entries if entry.is_in_rotation]
+        entry = self._rng.choice(rotation or self._entries)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                self._connection = await Connection.open(entry.host, FRONT_PORT)
+        except (OSError, TimeoutError):
+            return None
+        self._entry = entry.number
+        return self._connection
+
+    def _drop_connection(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if connection.stray:
+            self._strays.append((self._entry, connection.stray))
+        connection.close()
+
+
+def _render(ask: Ask, attempt: Attempt) -> bytes:
+    method = "GET" if ask.kind == "safe" else "POST"
+    remaining_ms = int((attempt.deadline_s - attempt.sent_s) * 1000)
+    lines = [
+        f"{method} {ask.path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Attempt-Id: {attempt.request_id}",
+        f"Deadline-Remaining-Ms: {remaining_ms}",
+        f"Authorization: Bearer {attempt.key}",
+    ]
+    if ask.kind == "stream":
+        lines.append(f"Token-Counts: {ask.prompt_tokens},{OUTPUT_TOKENS}")
+    if ask.kind == "safe":
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+    body = f"prompt of {attempt.request_id}"
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body.encode()
--- /dev/null
+++ b/bench/soak/checks.py
@@ -0,0 +1,363 @@
+"""Checks of the promises, only from what callers, targets and the store saw."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from bench.soak.configuration import CONVERGE_S, History
+from bench.soak.entries import DRAIN_S, FREE_S, RETRY_RATIO, RETRY_WINDOW_S, Exit
+from bench.soak.record import Attempt, Timeline
+from bench.soak.schedule import Deployment
+from bench.soak.targets import STREAM_EVENTS, Arrival, IdleTicket
+
+# Added to each bound of time, as the machine may be busy.
+MACHINE_SLACK_S = 1.0
+# An entry is held to bounds of time once it was undisturbed for this long.
+CONTACT_S = 3.0
+# An answer is due this long after the deadline or the route's time limit.
+END_SLACK_S = 0.5
+# A request that crosses the close of an unused connection is closed within this time.
+CROSSING_S = 0.3
+LIMIT_TOLERANCE_S = 0.2
+# Requests sent this long after SIGTERM have to be finished, except by work that still runs in the
+# last sixth of the time for the shutdown.
+SHUTDOWN_ACCEPT_S = 3.0
+SHUTDOWN_WORK_SHARE = 5 / 6
+REFUSALS = frozenset({408, 421, 429, 503})
+DENIALS = frozenset({401, 403, 404})
+GATEWAY_FAILURES = frozenset({502, 504})
+MIN_RECOVERED = 10
+WORKSPACE = "reef"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Violation:
+    """A broken promise.
+
+    Attributes:
+        rule: The check that found it.
+        text: What was seen.
+        at_s: When, as loop time.
+    """
+
+    rule: str
+    text: str
+    at_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Observations:
+    """All that was seen in a run.
+
+    Attributes:
+        attempts: The requests of callers.
+        runs: What each target ran, by the number of the target.
+        services: The service of each target.
+        arrivals: The requests that reached targets.
+        left_s: When the store learned that an instance leaves or is gone, by instance id.
+        idle_tickets: How long reservations were idle when they ended.
+        held_tickets: Reservations that are still held at the end.
+        exits: How entries ended.
+        strays: The number of an entry and bytes from it that belong to no request.
+        timeline: When which part was disturbed.
+        history: The versions of the configuration.
+        deployment: The deployment.
+    """
+
+    attempts: list[Attempt]
+    runs: dict[int, list[Any]]
+    services: dict[int, str]
+    arrivals: list[Arrival]
+    left_s: dict[str, float]
+    idle_tickets: list[IdleTicket]
+    held_tickets: list[str]
+    exits: list[Exit]
+    strays: list[tuple[int, bytes]]
+    timeline: Timeline
+    history: History
+    deployment: Deployment
+
+    def __post_init__(self) -> None:
+        by_id = defaultdict(list)
+        for arrival in self.arrivals:
+            by_id[arrival.request_id].append(arrival)
+        runs_by_id = defaultdict(list)
+        for number, runs in self.runs.items():
+            for run in runs:
+                runs_by_id[run.request_id].append((number, run))
+        object.__setattr__(self, "_arrivals_by_id", by_id)
+        object.__setattr__(self, "_runs_by_id", runs_by_id)
+
+    def arrivals_of(self, attempt: Attempt) -> list[Arrival]:
+        """Return where a request arrived."""
+        return self._arrivals_by_id[attempt.request_id]
+
+    def runs_of(self, attempt: Attempt) -> list[tuple[int, Any]]:
+        """Return where a request ran, with the number of the target."""
+        return self._runs_by_id[attempt.request_id]
+
+    def are_targets_sound(self, attempt: Attempt) -> bool:
+        """Return whether no target that a request reached broke off answers meanwhile."""
+        begin_s, end_s = attempt.sent_s - CONTACT_S, attempt.ended_s + END_SLACK_S
+        return all(
+            self.timeline.is_target_sound(arrival.target, begin_s, end_s)
+            for arrival in self.arrivals_of(attempt)
+        )
+
+    def limit_s(self, attempt: Attempt, choose: Callable[[Any], float]) -> float:
+        """Return when a request is out of time; `choose` picks from the routes' limits."""
+        versions = self.versions_for(attempt)
+        timeout_s = choose(version.timeout_ms for version in versions) / 1000
+        return min(attempt.deadline_s, attempt.sent_s + timeout_s)
+
+    def versions_for(self, attempt: Attempt) -> list[Any]:
+        """Return the versions of the configuration that may be in force for a request."""
+        is_calm = self.timeline.is_calm(attempt.entry, attempt.sent_s - CONTACT_S, attempt.ended_s)
+        converge_s = CONVERGE_S + MACHINE_SLACK_S if is_calm else float("inf")
+        return self.history.in_force(attempt.sent_s, attempt.ended_s, converge_s)
+
+
+def check_no_answer(seen: Observations) -> Iterator[Violation]:
+    """A request that was read whole ends with a complete answer, or its close has a reason."""
+    for attempt in seen.attempts:
+        if attempt.is_whole or attempt.has_left or _has_reason_to_close(seen, attempt):
+            continue
+        yield _violation("no_answer", attempt, _describe(seen, attempt), attempt.ended_s)
+
+
+def _has_reason_to_close(seen: Observations, attempt: Attempt) -> bool:
+    begin_s, end_s = attempt.sent_s, attempt.ended_s
+    timeline = seen.timeline
+    if timeline.was_killed(attempt.entry, begin_s - END_SLACK_S, end_s + END_SLACK_S):
+        return True
+    if end_s >= seen.limit_s(attempt, min) - LIMIT_TOLERANCE_S:
+        return True
+    if not seen.are_targets_sound(attempt):
+        return True
+    work_s = SHUTDOWN_WORK_SHARE * seen.deployment.shutdown_s
+    for shutdown in timeline.shutdowns:
+        is_late = end_s >= shutdown.began_s + work_s
+        is_early_enough = begin_s <= shutdown.began_s + SHUTDOWN_ACCEPT_S
+        if shutdown.entry == attempt.entry and is_late and is_early_enough:
+            return True
+    waited_s = end_s - begin_s - timeline.frozen_s(attempt.entry, begin_s, end_s)
+    return not seen.arrivals_of(attempt) and waited_s <= CROSSING_S
+
+
+def check_given_up(seen: Observations) -> Iterator[Violation]:
+    """No answer that could still come whole is replaced by a failure."""
+    for attempt in seen.attempts:
+        if attempt.status not in GATEWAY_FAILURES or attempt.signature:
+            continue
+        if attempt.ended_s >= seen.limit_s(attempt, min) - LIMIT_TOLERANCE_S:
+            continue
+        if seen.arrivals_of(attempt) and seen.are_targets_sound(attempt):
+            yield _violation("given_up", attempt, _describe(seen, attempt), attempt.ended_s)
+
+
+def check_twice(seen: Observations) -> Iterator[Violation]:
+    """A request that must not be repeated runs once at most."""
+    for attempt in seen.attempts:
+        runs = seen.runs_of(attempt)
+        if attempt.kind == "unsafe" and len(runs) > 1:
+            yield _violation("twice", attempt, _describe(seen, attempt), runs[1][1].began_s)
+
+
+def check_refusals(seen: Observations) -> Iterator[Violation]:
+    """A refusal says that a request has not run, and it never does."""
+    for attempt in seen.attempts:
+        if attempt.status in REFUSALS and seen.runs_of(attempt):
+            yield _violation("refused", attempt, _describe(seen, attempt), attempt.ended_s)
+
+
+def check_unasked(seen: Observations) -> Iterator[Violation]:
+    """Targets run only what callers sent, for its workspace and without the key."""
+    sent = {attempt.request_id for attempt in seen.attempts}
+    for runs in seen.runs.values():
+        for run in runs:
+            is_asked = run.request_id in sent
+            is_named = run.headers.get("tenant") == WORKSPACE
+            if not is_asked or not is_named or "authorization" in run.headers:
+                text = f"{run.request_id} ran with {run.headers}"
+                yield Violation(rule="unasked", text=text, at_s=run.began_s)
+
+
+def check_bodies(seen: Observations) -> Iterator[Violation]:
+    """A whole answer is the target's, and a stream is in order and never looks complete early."""
+    for attempt in seen.attempts:
+        if attempt.status != 200:
+            continue
+        instances = {arrival.instance_id for arrival in seen.arrivals_of(attempt)}
+        is_signed = attempt.signature in instances
+        if not is_signed or not _is_body_right(attempt):
+            text = f"{_describe(seen, attempt)}, body {attempt.body[-80:]!r}"
+            yield _violation("mixed", attempt, text, attempt.ended_s)
+    for entry, stray in seen.strays:
+        yield Violation(rule="mixed", text=f"entry {entry} sent unasked {stray[:80]!r}", at_s=0.0)
+
+
+def _is_body_right(attempt: Attempt) -> bool:
+    if attempt.kind != "stream":
+        expected = b"answer to " + attempt.request_id.encode()
+        return attempt.body == expected if attempt.is_whole else expected.startswith(attempt.body)
+    expected = b"".join(
+        b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, STREAM_EVENTS + 1)
+    )
+    return attempt.body == expected if attempt.is_whole else expected.startswith(attempt.body)
+
+
+def check_configuration(seen: Observations) -> Iterator[Violation]:
+    """Nothing is handled by an old configuration or a removed key after its bound."""
+    for attempt in seen.attempts:
+        versions = seen.versions_for(attempt)
+        for number, run in seen.runs_of(attempt):
+            service = seen.services[number]
+            if not any(v.allows(attempt.path, attempt.key, service) for v in versions):
+                yield _violation("config", attempt, _describe(seen, attempt), run.began_s)
+        if attempt.status in DENIALS and all(
+            version.accepts(attempt.path, attempt.key) for version in versions
+        ):
+            yield _violation("denied", attempt, _describe(seen, attempt), attempt.ended_s)
+
+
+def check_drains(seen: Observations) -> Iterator[Violation]:
+    """No request reaches a target later than its bound after the news that it leaves."""
+    entries = {attempt.request_id: attempt.entry for attempt in seen.attempts}
+    for arrival in seen.arrivals:
+        left_s = seen.left_s.get(arrival.instance_id)
+        if left_s is None or not arrival.has_matched:
+            continue
+        at_s = arrival.at_s
+        is_held_up = not seen.timeline.is_target_sound(arrival.target, at_s - CONTACT_S, at_s)
+        is_calm = seen.timeline.is_calm(entries[arrival.request_id], at_s - CONTACT_S, at_s)
+        if is_calm and not is_held_up and at_s > left_s + DRAIN_S + MACHINE_SLACK_S:
+            text = f"{arrival} {at_s - left_s:.2f} s after the news"
+            yield Violation(rule="drain", text=text, at_s=at_s)
+
+
+def check_retry_budget(seen: Observations) -> Iterator[Violation]:
+    """Retries stay within a share of the requests of each service."""
+    for service in set(seen.services.values()):
+        repeats = _repeats(seen, service)
+        for index, end_s in enumerate(repeats):
+            count = sum(at_s > end_s - RETRY_WINDOW_S for at_s in repeats[: index + 1])
+            allowed = seen.deployment.retry_slack + RETRY_RATIO * max(
+                _requests(seen, service, end_s - shift * RETRY_WINDOW_S)
+                for shift in (0.0, 0.5, 1.0)
+            )
+            if count > allowed:
+                text = f"{service}: {count} retries in {RETRY_WINDOW_S} s, allowed {allowed:.1f}"
+                yield Violation(rule="retry_budget", text=text, at_s=end_s)
+                break
+
+
+def _repeats(seen: Observations, service: str) -> list[float]:
+    known: set[str] = set()
+    repeats = []
+    for arrival in sorted(seen.arrivals, key=lambda one: one.at_s):
+        if arrival.service != service:
+            continue
+        if arrival.request_id in known:
+            repeats.append(arrival.at_s)
+        known.add(arrival.request_id)
+    return repeats
+
+
+def _requests(seen: Observations, service: str, end_s: float) -> int:
+    return sum(
+        end_s - RETRY_WINDOW_S < attempt.sent_s <= end_s
+        and any(
+            version.allows(attempt.path, attempt.key, service)
+            and (attempt.kind == "stream") == (service == "engines")
+            for version in seen.history.versions
+        )
+        for attempt in seen.attempts
+    )
+
+
+def check_ends(seen: Observations) -> Iterator[Violation]:
+    """Each request ends by its deadline or the time limit of its route."""
+    for attempt in seen.attempts:
+        if attempt.has_left and not attempt.is_overdue:
+            continue
+        due_s = seen.limit_s(attempt, max) + END_SLACK_S + MACHINE_SLACK_S
+        due_s += seen.timeline.frozen_s(attempt.entry, attempt.sent_s, attempt.ended_s)
+        is_calm = seen.timeline.is_calm(attempt.entry, attempt.sent_s - CONTACT_S, attempt.ended_s)
+        if is_calm and (attempt.is_overdue or attempt.ended_s > due_s):
+            yield _violation("overdue", attempt, _describe(seen, attempt), attempt.ended_s)
+
+
+def check_memory(seen: Observations) -> Iterator[Violation]:
+    """Reserved memory is given back soon after its last use."""
+    for ticket in seen.idle_tickets:
+        if ticket.idle_s > FREE_S + MACHINE_SLACK_S:
+            yield Violation(rule="memory", text=f"idle reservation: {ticket}", at_s=0.0)
+    for text in seen.held_tickets:
+        yield Violation(rule="memory", text=f"still reserved at the end: {text}", at_s=0.0)
+
+
+def check_exits(seen: Observations) -> Iterator[Violation]:
+    """Entries exit only when asked to, with code 0 and in time."""
+    for ended in seen.exits:
+        if ended.was_asked and ended.code is None and seen.timeline.freezes[ended.entry]:
+            # A suspended process can't exit in time.
+            continue
+        if ended.code != 0 or not ended.was_asked:
+            yield Violation(rule="exit", text=str(ended), at_s=0.0)
+
+
+def check_recovery(seen: Observations) -> Iterator[Violation]:
+    """After the last fault, requests are served again."""
+    begin_s = seen.timeline.last_end_s() + CONTACT_S
+    newest = seen.history.newest
+    sent = [
+        attempt
+        for attempt in seen.attempts
+        if attempt.sent_s > begin_s
+        and not attempt.has_left
+        and newest.accepts(attempt.path, attempt.key)
+    ]
+    served = sum(attempt.is_whole and attempt.status == 200 for attempt in sent)
+    if len(sent) >= MIN_RECOVERED and served < len(sent) / 2:
+        text = f"{served} of {len(sent)} requests served after the last fault"
+        yield Violation(rule="recovery", text=text, at_s=begin_s)
+
+
+CHECKS = (
+    check_no_answer,
+    check_given_up,
+    check_twice,
+    check_refusals,
+    check_unasked,
+    check_bodies,
+    check_configuration,
+    check_drains,
+    check_retry_budget,
+    check_ends,
+    check_memory,
+    check_exits,
+    check_recovery,
+)
+
+
+def find_violations(seen: Observations) -> list[Violation]:
+    """Return all broken promises."""
+    return [violation for check in CHECKS for violation in check(seen)]
+
+
+def _violation(rule: str, attempt: Attempt, text: str, at_s: float) -> Violation:
+    return Violation(rule=rule, text=f"{attempt.request_id} {text}", at_s=at_s)
+
+
+def _describe(seen: Observations, attempt: Attempt) -> str:
+    arrivals = ", ".join(
+        f"{one.instance_id}+{one.at_s - attempt.sent_s:.2f}" for one in seen.arrivals_of(attempt)
+    )
+    runs = ", ".join(f"target {number}" for number, _ in seen.runs_of(attempt))
+    return (
+        f"{attempt.kind} {attempt.path} at entry {attempt.entry}: status {attempt.status}, "
+        f"whole {attempt.is_whole}, {len(attempt.body)} bytes, "
+        f"took {attempt.ended_s - attempt.sent_s:.2f} of {attempt.deadline_s - attempt.sent_s:.2f}"
+        f" s; arrived at {arrivals or 'no target'}; ran at {runs or 'no target'}"
+    )
--- /dev/null
+++ b/bench/soak/play.py
@@ -0,0 +1,134 @@
+"""Plays one schedule and judges it."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.soak.callers import Callers
+from bench.soak.checks import MACHINE_SLACK_S, Observations, Violation, find_violations
+from bench.soak.entries import FREE_S
+from bench.soak.faults import carry_out
+from bench.soak.record import Shutdown
+from bench.soak.schedule import Schedule, save
+from bench.soak.system import System
+
+SCHEDULE_FILE = "schedule.json"
+VERDICT_FILE = "verdict.txt"
+LAG_INTERVAL_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """How a run ended.
+
+    Attributes:
+        violations: The broken promises.
+        attempts: Number of requests sent.
+        served: Number of requests answered completely with success.
+        longest_lag_s: The longest time for which this process did not run, for the stated slack.
+    """
+
+    violations: tuple[Violation, ...]
+    attempts: int
+    served: int
+    longest_lag_s: float
+
+    @property
+    def rules(self) -> list[str]:
+        """Return the names of the broken rules."""
+        return sorted({violation.rule for violation in self.violations})
+
+
+async def play(schedule: Schedule, *, directory: Path, source: Path) -> Verdict:
+    """Play a schedule.
+
+    Args:
+        schedule: The deployment and its faults.
+        directory: Where logs, the schedule and the verdict are written.
+        source: The directory of the programs' source.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    save(schedule, directory / SCHEDULE_FILE)
+    deployment = schedule.deployment
+    system = System(deployment=deployment, directory=directory, source=source)
+    callers = Callers(
+        entries=system.entries,
+        seed=schedule.seed,
+        usable_idle_s=lambda: system.history.usable_idle_s(system.now_s),
+    )
+    lag = asyncio.ensure_future(_measure_lag())
+    background = [lag]
+    try:
+        if not await system.start():
+            raise RuntimeError(f"an entry did not start; see its log in {directory}")
+        system.note("load begins")
+        background.append(asyncio.ensure_future(system.watch_readiness()))
+        await asyncio.gather(
+            callers.run(deployment.callers, deployment.load_s),
+            carry_out(system, schedule.faults),
+        )
+        seen = await _end(system, callers, schedule)
+    finally:
+        for task in background:
+            task.cancel()
+        ended = await asyncio.gather(*background, return_exceptions=True)
+        await system.close()
+    violations = tuple(find_violations(seen))
+    _write_verdict(system, violations, directory / VERDICT_FILE)
+    return Verdict(
+        violations=violations,
+        attempts=len(callers.attempts),
+        served=sum(a.is_whole and a.status == 200 for a in callers.attempts),
+        longest_lag_s=ended[0] if isinstance(ended[0], float) else 0.0,
+    )
+
+
+async def _end(system: System, callers: Callers, schedule: Schedule) -> Observations:
+    """Wait until nothing may be reserved any more, stop all entries and return what was seen."""
+    if any(slot.target is not None and slot.target.tickets for slot in system.slots):
+        await asyncio.sleep(FREE_S + MACHINE_SLACK_S)
+    held = [
+        f"{slot.target.instance_id}: {name}"
+        for slot in system.slots
+        if slot.target is not None
+        for name in slot.target.tickets
+    ]
+    for entry in system.entries:
+        entry.is_busy = True
+        system.timeline.shutdowns.append(Shutdown(entry=entry.number, began_s=system.now_s))
+    await asyncio.gather(*(entry.stop() for entry in system.entries))
+    return Observations(
+        attempts=callers.attempts,
+        runs={slot.number: slot.runs for slot in system.slots},
+        services={slot.number: slot.service for slot in system.slots},
+        arrivals=system.arrivals,
+        left_s={name: at_s for slot in system.slots for name, at_s in slot.left_s.items()},
+        idle_tickets=system.idle_tickets,
+        held_tickets=held,
+        exits=[ended for entry in system.entries for ended in entry.exits],
+        strays=callers.strays,
+        timeline=system.timeline,
+        history=system.history,
+        deployment=schedule.deployment,
+    )
+
+
+async def _measure_lag() -> float:
+    """Return the longest time by which a timer was late, once cancelled."""
+    loop = asyncio.get_running_loop()
+    longest_s = 0.0
+    with contextlib.suppress(asyncio.CancelledError):
+        while True:
+            due_s = loop.time() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            longest_s = max(longest_s, loop.time() - due_s)
+    return longest_s
+
+
+def _write_verdict(system: System, violations: tuple[Violation, ...], path: Path) -> None:
+    lines = [
+        f"{system.since_start_s(violation.at_s):.2f} {violation.rule}: {violation.text}"
+        for violation in violations
+    ]
+    path.write_text("\n".join(lines or ["no promise was broken"]) + "\n")
--- /dev/null
+++ b/bench/soak/record.py
@@ -0,0 +1,136 @@
+"""What callers saw, and when which part was disturbed."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+NEVER_S = float("inf")
+
+
+@dataclass(kw_only=True)
+class Attempt:
+    """One request as its caller saw it.
+
+    Attributes:
+        request_id: The id, which no other request has.
+        kind: "safe", "unsafe" or "stream".
+        path: The path.
+        key: The key.
+        entry: The number of the entry.
+        sent_s: When the last byte of the request was sent.
+        deadline_s: When the caller stops waiting.
+        ended_s: When the answer was complete, the connection closed or the caller left.
+        status: The status; 0 if none came.
+        is_whole: Whether the answer was complete.
+        body: The body without its chunk framing.
+        signature: The id of the target that gave the answer; empty for one by the entry.
+        has_left: Whether the caller closed the connection before the answer was complete.
+        is_overdue: Whether the caller left as nothing ended the request in time.
+        retry_after_s: The time after which the entry asked the caller to return, if any.
+    """
+
+    request_id: str
+    kind: str
+    path: str
+    key: str
+    entry: int
+    sent_s: float
+    deadline_s: float
+    ended_s: float = NEVER_S
+    status: int = 0
+    is_whole: bool = False
+    body: bytes = b""
+    signature: str = ""
+    has_left: bool = False
+    is_overdue: bool = False
+    retry_after_s: float | None = None
+
+
+@dataclass(kw_only=True)
+class Disturbance:
+    """A time during which a part did not work as it should."""
+
+    began_s: float
+    ended_s: float = NEVER_S
+
+    def overlaps(self, begin_s: float, end_s: float) -> bool:
+        """Return whether it overlaps a time."""
+        return self.began_s <= end_s and self.ended_s >= begin_s
+
+
+@dataclass(frozen=True, kw_only=True)
+class Shutdown:
+    """A SIGTERM of an entry."""
+
+    entry: int
+    began_s: float
+
+
+@dataclass(kw_only=True)
+class Timeline:
+    """When which part was disturbed.
+
+    Attributes:
+        shutdowns: Each SIGTERM of an entry.
+        kills: The entry and the time of each SIGKILL.
+        freezes: By the number of the entry.
+    """
+
+    shutdowns: list[Shutdown] = field(default_factory=list)
+    kills: list[tuple[int, float]] = field(default_factory=list)
+    freezes: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    _entries: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    _targets: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    _store: list[Disturbance] = field(default_factory=list)
+
+    def disturb_entry(self, number: int, now_s: float) -> Disturbance:
+        """Record that an entry, or its link to the store, is disturbed from now on."""
+        return _add(self._entries[number], now_s)
+
+    def disturb_target(self, number: int, now_s: float) -> Disturbance:
+        """Record that a target breaks off answers, or that its link does, from now on."""
+        return _add(self._targets[number], now_s)
+
+    def disturb_store(self, now_s: float) -> Disturbance:
+        """Record that the store is disturbed from now on."""
+        return _add(self._store, now_s)
+
+    def freeze(self, number: int, now_s: float) -> Disturbance:
+        """Record that an entry does not run from now on."""
+        return _add(self.freezes[number], now_s)
+
+    def is_calm(self, entry: int, begin_s: float, end_s: float) -> bool:
+        """Return whether neither an entry nor the store was disturbed in a time."""
+        return not any(
+            disturbance.overlaps(begin_s, end_s)
+            for disturbance in (*self._entries[entry], *self._store)
+        )
+
+    def is_target_sound(self, number: int, begin_s: float, end_s: float) -> bool:
+        """Return whether a target broke off no answer in a time."""
+        return not any(
+            disturbance.overlaps(begin_s, end_s) for disturbance in self._targets[number]
+        )
+
+    def was_killed(self, entry: int, begin_s: float, end_s: float) -> bool:
+        """Return whether an entry was killed in a time."""
+        return any(
+            number == entry and begin_s <= killed_s <= end_s for number, killed_s in self.kills
+        )
+
+    def last_end_s(self) -> float:
+        """Return when the last disturbance ended."""
+        groups = (*self._entries.values(), *self._targets.values(), self._store)
+        return max((one.ended_s for group in groups for one in group), default=0.0)
+
+    def frozen_s(self, entry: int, begin_s: float, end_s: float) -> float:
+        """Return for how long an entry was suspended in a time."""
+        return sum(
+            max(0.0, min(freeze.ended_s, end_s) - max(freeze.began_s, begin_s))
+            for freeze in self.freezes[entry]
+        )
+
+
+def _add(disturbances: list[Disturbance], now_s: float) -> Disturbance:
+    disturbance = Disturbance(began_s=now_s)
+    disturbances.append(disturbance)
+    return disturbance
--- /dev/null
+++ b/bench/soak/schedule.py
@@ -0,0 +1,183 @@
+"""The deployment and the faults that one seed stands for."""
+
+import enum
+import random
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import cattrs
+import orjson
+
+HEALTHY_START_S = 1.0
+HEALTHY_END_S = 5.0
+MIN_FAULTS = 5
+MAX_FAULTS = 16
+# A sound target may send nothing for this long and go on afterwards.
+MAX_SILENCE_S = 1.2
+
+
+class FaultKind(enum.Enum):
+    """What a fault does; `Fault.subject` is an entry, a target or nothing."""
+
+    ENTRY_STOP = "entry_stop"
+    ENTRY_KILL = "entry_kill"
+    ENTRY_FREEZE = "entry_freeze"
+    ENTRY_RELOAD = "entry_reload"
+    ENTRY_BAD_SETTINGS = "entry_bad_settings"
+    STORE_LINK_DELAY = "store_link_delay"
+    STORE_LINK_RESET = "store_link_reset"
+    STORE_LINK_ONE_WAY = "store_link_one_way"
+    STORE_LINK_SILENT = "store_link_silent"
+    STORE_SLOW = "store_slow"
+    STORE_SILENT = "store_silent"
+    STORE_REFUSES_ENTRY = "store_refuses_entry"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_DROPS_HISTORY = "store_drops_history"
+    STORE_OLDER_COPY = "store_older_copy"
+    TARGET_LINK_DELAY = "target_link_delay"
+    TARGET_LINK_RESET = "target_link_reset"
+    TARGET_LINK_ONE_WAY = "target_link_one_way"
+    TARGET_LINK_SILENT = "target_link_silent"
+    TARGET_SILENT = "target_silent"
+    TARGET_CRASH = "target_crash"
+    TARGET_REBORN = "target_reborn"
+    TARGET_DRAIN = "target_drain"
+    TARGET_GARBLE = "target_garble"
+    TARGET_REFUSES = "target_refuses"
+    TARGET_LOSES_ANSWERS = "target_loses_answers"
+    ROUTE_MOVE = "route_move"
+    ROUTE_TOGGLE = "route_toggle"
+    TIMEOUT_CHANGE = "timeout_change"
+    IDLE_LIMIT_CHANGE = "idle_limit_change"
+    KEY_TOGGLE = "key_toggle"
+
+
+ENTRY_FAULTS = frozenset(
+    kind for kind in FaultKind if kind.value.startswith(("entry_", "store_link_", "store_refuses"))
+)
+TARGET_FAULTS = frozenset(kind for kind in FaultKind if kind.value.startswith("target_"))
+# Drawn only if asked for.
+OPTIONAL_FAULTS = frozenset({FaultKind.STORE_OLDER_COPY})
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at_s: Its begin, from the start of the load.
+        kind: What it does.
+        subject: The number of the entry or target that it hits; 0 if it hits neither.
+        for_s: How long it lasts; 0 if it has no duration.
+    """
+
+    at_s: float
+    kind: FaultKind
+    subject: int
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """The processes of a run and the load on them.
+
+    Attributes:
+        entries: Number of entries.
+        engines: Number of targets that serve streams.
+        services: Number of targets of each of the two plain services.
+        callers: Number of callers, each with one request at a time.
+        shutdown_s: Time from SIGTERM until an entry is killed.
+        retry_slack: Retries that are allowed in each window beyond a share of the requests.
+        load_s: Duration of the load.
+    """
+
+    entries: int
+    engines: int
+    services: int
+    callers: int
+    shutdown_s: int
+    retry_slack: int
+    load_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Schedule:
+    """All that a run is made from."""
+
+    seed: int
+    deployment: Deployment
+    faults: tuple[Fault, ...]
+
+    def without(self, dropped: tuple[Fault, ...]) -> "Schedule":
+        """Return this schedule with fewer faults."""
+        kept = tuple(fault for fault in self.faults if fault not in dropped)
+        return replace(self, faults=kept)
+
+
+def draw(
+    seed: int,
+    *,
+    entries: int | None = None,
+    load_s: float | None = None,
+    kinds: frozenset[FaultKind] | None = None,
+) -> Schedule:
+    """Draw a schedule from a seed.
+
+    Args:
+        seed: The seed.
+        entries: Number of entries; None to draw it.
+        load_s: Duration of the load; None to draw it.
+        kinds: The kinds of fault to draw from; None for all that are not optional.
+    """
+    rng = random.Random(seed)
+    deployment = Deployment(
+        entries=rng.randint(2, 5),
+        engines=rng.randint(3, 6),
+        services=rng.randint(2, 3),
+        callers=rng.randint(12, 30),
+        shutdown_s=rng.randint(5, 8),
+        retry_slack=rng.randint(5, 30),
+        load_s=float(rng.randint(16, 26)),
+    )
+    deployment = replace(
+        deployment,
+        entries=entries or deployment.entries,
+        load_s=load_s or deployment.load_s,
+    )
+    allowed = sorted(kinds or set(FaultKind) - OPTIONAL_FAULTS, key=lambda kind: kind.value)
+    faults = [
+        _draw_fault(rng, deployment, allowed) for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS))
+    ]
+    return Schedule(
+        seed=seed,
+        deployment=deployment,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+    )
+
+
+def load(path: Path) -> Schedule:
+    """Load a schedule from a file."""
+    return cattrs.structure(orjson.loads(path.read_bytes()), Schedule)
+
+
+def save(schedule: Schedule, path: Path) -> None:
+    """Write a schedule to a file, from which `load` makes it again."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(orjson.dumps(cattrs.unstructure(schedule), option=orjson.OPT_INDENT_2))
+
+
+def _draw_fault(rng: random.Random, deployment: Deployment, allowed: list[FaultKind]) -> Fault:
+    kind = rng.choice(allowed)
+    subject = 0
+    if kind in ENTRY_FAULTS:
+        subject = rng.randrange(deployment.entries)
+    elif kind in TARGET_FAULTS:
+        subject = rng.randrange(deployment.engines + 2 * deployment.services)
+    longest_s = MAX_SILENCE_S if kind is FaultKind.TARGET_SILENT else 3.0
+    at_s = rng.uniform(HEALTHY_START_S, deployment.load_s - HEALTHY_END_S)
+    return Fault(
+        at_s=round(at_s, 2),
+        kind=kind,
+        subject=subject,
+        for_s=round(rng.uniform(0.3, longest_s), 2),
+    )
