--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format generate bench chaos soak
+.PHONY: demo test lint format generate bench chaos fault-pairs soak
 
 demo: $(STAMP)
 	$(BIN)/cicadatiller-demo
@@ -28,8 +28,13 @@
 chaos: $(STAMP)
 	$(BIN)/python -m bench.chaos
 
-# Draws N pairs of faults from SEED.
+# Plays N schedules of faults on real entries, from SEED on; see docs/SOAK.md. Not part of CI.
 soak: $(STAMP)
+	$(BIN)/python -m bench.soak regressions
+	$(BIN)/python -m bench.soak run --seed $(or $(SEED),1) --count $(or $(N),50) --max-shrinks 12
+
+# Draws N pairs of faults from SEED, on the paused clock.
+fault-pairs: $(STAMP)
 	SEED=$(or $(SEED),1) N=$(or $(N),5000) $(BIN)/python -m unittest -b tests.test_fault_pairs
 
 lint: $(STAMP)
--- a/bench/chaos_fleet.py
+++ b/bench/chaos_fleet.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from bench import fleet
-from bench.chaos_relay import Relay
 from bench.chaos_transport import FIRST, PORT_OFFSETS, SECOND
+from bench.soak.relay import Relay
 
 ENTRIES = 2
 ENGINES = 4
@@ -60,7 +60,12 @@
         ports = {f"engine-{n}": port for n, port in enumerate(layout.engine_sidecar_ports)}
         ports |= {f"service-{n}": port for n, port in enumerate(layout.service_sidecar_ports)}
         self.relays = {
-            name: Relay(port=port, target_port=port + PORT_OFFSETS[FIRST])
+            name: Relay(
+                host=fleet.HOST,
+                port=port,
+                target_host=fleet.HOST,
+                target_port=port + PORT_OFFSETS[FIRST],
+            )
             for name, port in ports.items()
         }
 
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -48,6 +49,11 @@
         directory: Where logs, the schedule and the verdict are written.
         source: The directory of the programs' source.
     """
+    loop = asyncio.get_running_loop()
+    playing = asyncio.current_task()
+    assert playing is not None
+    # Without this, the processes of the run would outlive this one.
+    loop.add_signal_handler(signal.SIGTERM, playing.cancel)
     directory.mkdir(parents=True, exist_ok=True)
     save(schedule, directory / SCHEDULE_FILE)
     deployment = schedule.deployment
--- a/bench/soak/relay.py
+++ b/bench/soak/relay.py
@@ -55,7 +55,6 @@
         target_port: The port to which new connections are forwarded.
         delay_s: How long each block of data is held up.
         garbles: Whether answers are replaced by bytes that are no answer, and then end.
-        dropping_connections: Number of connections affected by `drop_data` so far.
     """
 
     def __init__(self, *, host: str, port: int, target_host: str, target_port: int) -> None:
@@ -65,7 +64,6 @@
         self.target_port = target_port
         self.delay_s = 0.0
         self.garbles = False
-        self.dropping_connections = 0
         self._pairs: set[_ConnectionPair] = set()
         self._tasks: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
         self._server: asyncio.Server | None = None
@@ -81,7 +79,6 @@
 
     def drop_data(self, direction: Direction = Direction.BOTH) -> None:
         """Discard the data of all open connections from now on, without closing them."""
-        self.dropping_connections += len(self._pairs)
         for pair in self._pairs:
             pair.drops = direction
 
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -10,10 +10,16 @@
 
 HEALTHY_START_S = 1.0
 HEALTHY_END_S = 5.0
-MIN_FAULTS = 5
-MAX_FAULTS = 16
+MIN_FAULTS = 12
+MAX_FAULTS = 36
+# Some faults strike the same part again, or another part, within this time after the one before.
+SERIES_SHARE = 0.4
+MAX_SERIES_GAP_S = 1.0
+CALL_TIMES_S = (0.02, 0.1, 0.3)
 # A sound target may send nothing for this long and go on afterwards.
 MAX_SILENCE_S = 1.2
+MIN_DURATION_S = 0.3
+MAX_DURATION_S = 3.0
 
 
 class FaultKind(enum.Enum):
@@ -86,6 +92,7 @@
         engines: Number of targets that serve streams.
         services: Number of targets of each of the two plain services.
         callers: Number of callers, each with one request at a time.
+        call_s: How long targets work on a call.
         shutdown_s: Time from SIGTERM until an entry is killed.
         retry_slack: Retries that are allowed in each window beyond a share of the requests.
         load_s: Duration of the load.
@@ -95,6 +102,7 @@
     engines: int
     services: int
     callers: int
+    call_s: float
     shutdown_s: int
     retry_slack: int
     load_s: float
@@ -134,7 +142,8 @@
         entries=rng.randint(2, 5),
         engines=rng.randint(3, 6),
         services=rng.randint(2, 3),
-        callers=rng.randint(12, 30),
+        callers=rng.randint(16, 40),
+        call_s=rng.choice(CALL_TIMES_S),
         shutdown_s=rng.randint(5, 8),
         retry_slack=rng.randint(5, 30),
         load_s=float(rng.randint(16, 26)),
@@ -145,9 +154,10 @@
         load_s=load_s or deployment.load_s,
     )
     allowed = sorted(kinds or set(FaultKind) - OPTIONAL_FAULTS, key=lambda kind: kind.value)
-    faults = [
-        _draw_fault(rng, deployment, allowed) for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS))
-    ]
+    faults: list[Fault] = []
+    for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS)):
+        previous = faults[-1] if faults and rng.random() < SERIES_SHARE else None
+        faults.append(_draw_fault(rng, deployment, allowed, previous))
     return Schedule(
         seed=seed,
         deployment=deployment,
@@ -166,18 +176,37 @@
     path.write_bytes(orjson.dumps(cattrs.unstructure(schedule), option=orjson.OPT_INDENT_2))
 
 
-def _draw_fault(rng: random.Random, deployment: Deployment, allowed: list[FaultKind]) -> Fault:
+def _draw_fault(
+    rng: random.Random,
+    deployment: Deployment,
+    allowed: list[FaultKind],
+    previous: Fault | None,
+) -> Fault:
+    """Draw a fault; one that follows another closely may strike the same subject again."""
     kind = rng.choice(allowed)
-    subject = 0
-    if kind in ENTRY_FAULTS:
-        subject = rng.randrange(deployment.entries)
-    elif kind in TARGET_FAULTS:
-        subject = rng.randrange(deployment.engines + 2 * deployment.services)
-    longest_s = MAX_SILENCE_S if kind is FaultKind.TARGET_SILENT else 3.0
-    at_s = rng.uniform(HEALTHY_START_S, deployment.load_s - HEALTHY_END_S)
+    latest_s = deployment.load_s - HEALTHY_END_S
+    at_s = rng.uniform(HEALTHY_START_S, latest_s)
+    if previous is not None:
+        at_s = min(latest_s, previous.at_s + rng.uniform(0.0, MAX_SERIES_GAP_S))
+    longest_s = MAX_SILENCE_S if kind is FaultKind.TARGET_SILENT else MAX_DURATION_S
     return Fault(
         at_s=round(at_s, 2),
         kind=kind,
-        subject=subject,
-        for_s=round(rng.uniform(0.3, longest_s), 2),
+        subject=_draw_subject(rng, deployment, kind, previous),
+        for_s=round(rng.uniform(MIN_DURATION_S, longest_s), 2),
     )
+
+
+def _draw_subject(
+    rng: random.Random, deployment: Deployment, kind: FaultKind, previous: Fault | None
+) -> int:
+    for group, size in (
+        (ENTRY_FAULTS, deployment.entries),
+        (TARGET_FAULTS, deployment.engines + 2 * deployment.services),
+    ):
+        if kind not in group:
+            continue
+        if previous is not None and previous.kind in group and rng.random() < SERIES_SHARE:
+            return previous.subject
+        return rng.randrange(size)
+    return 0
--- a/bench/soak/system.py
+++ b/bench/soak/system.py
@@ -80,6 +80,7 @@
                 arrivals=self.arrivals,
                 idle_tickets=self.idle_tickets,
                 find_target=self._find_target,
+                call_s=deployment.call_s,
             )
             for number, service in enumerate(services)
         ]
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -201,6 +201,7 @@
         arrivals: The requests that reached any target.
         idle_tickets: The reservations that ended at any target.
         find_target: Returns the target that serves at an address, if any.
+        call_s: How long it works on a call.
 
     Attributes:
         left_s: When the store took the news that an instance leaves or is gone, by instance id.
@@ -218,6 +219,7 @@
         arrivals: list[Arrival],
         idle_tickets: list[IdleTicket],
         find_target: Callable[[str], SoakTarget | None],
+        call_s: float,
     ) -> None:
         self.number = number
         self.service = service
@@ -228,6 +230,7 @@
         self._arrivals = arrivals
         self._idle_tickets = idle_tickets
         self._find_target = find_target
+        self._call_s = call_s
         self._target_host = f"{host_prefix}.{TARGET_OFFSET + number}"
         self._ports = itertools.count(PORT)
         self._names = itertools.count(1)
@@ -250,6 +253,7 @@
             find_target=self._find_target,
             zone=self._data_centre,
             service=self.service,
+            work_s=self._call_s,
             events=STREAM_EVENTS,
         )
         # All instances of a place add to one list.
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,284 @@
+"""The fault soak: its schedules, its checks, its shrinker, and one short seeded run."""
+
+import asyncio
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+
+from bench.soak.checks import Observations, find_violations
+from bench.soak.configuration import MOVING_PATH, SPARE_KEY, TOGGLED_PATH, History
+from bench.soak.entries import Exit
+from bench.soak.play import play
+from bench.soak.record import Attempt, Shutdown, Timeline
+from bench.soak.regressions import load_regressions
+from bench.soak.schedule import OPTIONAL_FAULTS, Deployment, Fault, FaultKind, draw, load, save
+from bench.soak.shrink import shrink
+from bench.soak.targets import STREAM_EVENTS, Arrival, IdleTicket
+from tests.support.gateways import KEY
+
+SOURCE = Path(__file__).parents[1] / "src"
+CI_SEED = 1
+CI_LOAD_S = 12.0
+STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, STREAM_EVENTS + 1))
+
+
+def attempt(**changes):
+    """Return a safe request that was answered."""
+    fields = {
+        "request_id": "a1",
+        "kind": "safe",
+        "path": "/safe/x",
+        "key": KEY,
+        "entry": 0,
+        "sent_s": 100.0,
+        "deadline_s": 103.0,
+        "ended_s": 100.1,
+        "status": 200,
+        "is_whole": True,
+        "body": b"answer to a1",
+        "signature": "t0-1",
+    }
+    return Attempt(**fields | changes)
+
+
+def closed(**changes):
+    """Return a request whose connection closed without an answer."""
+    fields = {"ended_s": 101.0, "status": 0, "is_whole": False, "body": b"", "signature": ""}
+    return attempt(**fields | changes)
+
+
+def run(request_id="a1", began_s=100.05, **headers):
+    """Return what a target keeps of a request that it ran."""
+    headers = {"tenant": "reef"} | headers
+    return SimpleNamespace(request_id=request_id, began_s=began_s, headers=headers)
+
+
+def arrival(at_s=100.05, **changes):
+    """Return the arrival of a request at the first target."""
+    fields = {
+        "request_id": "a1",
+        "instance_id": "t0-1",
+        "target": 0,
+        "service": "pool",
+        "at_s": at_s,
+        "has_matched": True,
+    }
+    return Arrival(**fields | changes)
+
+
+def observations(*attempts, **changes):
+    """Return what is seen of requests that each ran once at the first target."""
+    fields = {
+        "attempts": list(attempts),
+        "runs": {0: [run(one.request_id, one.sent_s) for one in attempts]},
+        "services": {0: "pool", 1: "annex"},
+        "arrivals": [arrival(one.sent_s, request_id=one.request_id) for one in attempts],
+        "left_s": {},
+        "idle_tickets": [],
+        "held_tickets": [],
+        "exits": [],
+        "strays": [],
+        "timeline": Timeline(),
+        "history": History(0.0),
+        "deployment": Deployment(
+            entries=1,
+            engines=0,
+            services=1,
+            callers=1,
+            call_s=0.02,
+            shutdown_s=6,
+            retry_slack=2,
+            load_s=10.0,
+        ),
+    }
+    return Observations(**fields | changes)
+
+
+class CheckTest(unittest.TestCase):
+    def assert_broken(self, rule, seen):
+        self.assertEqual({violation.rule for violation in find_violations(seen)}, {rule})
+
+    def assert_kept(self, seen):
+        self.assertEqual(find_violations(seen), [])
+
+    def test_answered_request_breaks_nothing(self):
+        self.assert_kept(observations(attempt()))
+
+    def test_close_without_an_answer_is_found(self):
+        self.assert_broken("no_answer", observations(closed()))
+
+    def test_stream_cut_though_its_target_is_sound_is_found(self):
+        cut = attempt(kind="stream", path="/stream/x", body=STREAM[:40], is_whole=False)
+        self.assert_broken("no_answer", observations(cut))
+
+    def test_close_beside_a_change_of_the_configuration_is_found(self):
+        history = History(0.0)
+        history.change(100.5, timeout_ms=6000)
+        self.assert_broken("no_answer", observations(closed(), history=history))
+
+    def test_close_after_the_target_broke_off_is_allowed(self):
+        timeline = Timeline()
+        timeline.disturb_target(0, 100.5)
+        self.assert_kept(observations(closed(), timeline=timeline))
+
+    def test_close_by_a_kill_is_allowed(self):
+        self.assert_kept(observations(closed(), timeline=Timeline(kills=[(0, 101.0)])))
+
+    def test_close_at_the_end_of_a_shutdown_is_allowed_only_for_early_requests(self):
+        timeline = Timeline(shutdowns=[Shutdown(entry=0, began_s=99.0)])
+        early = closed(ended_s=104.5, deadline_s=110.0)
+        late = closed(sent_s=102.5, ended_s=104.5, deadline_s=110.0)
+        self.assert_kept(observations(early, timeline=timeline))
+        self.assert_broken("no_answer", observations(late, timeline=timeline))
+
+    def test_close_at_the_deadline_is_allowed(self):
+        self.assert_kept(observations(closed(ended_s=103.0)))
+
+    def test_request_that_crosses_a_close_is_allowed_unless_it_was_passed_on(self):
+        crossing = closed(ended_s=100.1)
+        self.assert_kept(observations(crossing, arrivals=[], runs={}))
+        self.assert_broken("no_answer", observations(crossing))
+
+    def test_failure_of_a_request_whose_target_is_sound_is_found(self):
+        self.assert_broken("given_up", observations(attempt(status=502, signature="")))
+
+    def test_unsafe_request_that_ran_twice_is_found(self):
+        seen = observations(attempt(kind="unsafe"), runs={0: [run()], 1: [run(began_s=100.3)]})
+        self.assert_broken("twice", seen)
+
+    def test_refusal_of_a_request_that_runs_later_is_found(self):
+        refused = attempt(status=503, signature="")
+        self.assert_broken("refused", observations(refused, runs={0: [run(began_s=107.0)]}))
+
+    def test_run_for_another_workspace_is_found(self):
+        self.assert_broken("unasked", observations(attempt(), runs={0: [run(tenant="other")]}))
+
+    def test_key_that_is_passed_on_is_found(self):
+        runs = {0: [run(authorization="Bearer x")]}
+        self.assert_broken("unasked", observations(attempt(), runs=runs))
+
+    def test_stream_without_one_event_is_found(self):
+        holed = STREAM.replace(b"id: 5\ndata: 5\n\n", b"")
+        whole = attempt(kind="stream", path="/stream/x", body=holed)
+        self.assert_broken("mixed", observations(whole))
+
+    def test_stream_that_looks_complete_early_is_found(self):
+        short = attempt(kind="stream", path="/stream/x", body=STREAM[:60])
+        self.assert_broken("mixed", observations(short))
+
+    def test_bytes_without_a_request_are_found(self):
+        self.assert_broken("mixed", observations(strays=[(0, b"HTTP/1.1 200 OK")]))
+
+    def test_run_by_the_service_of_an_older_version_is_found_after_its_bound_only(self):
+        history = History(0.0)
+        history.change(98.0, moving_service="annex")
+        soon = attempt(path=MOVING_PATH)
+        late = replace(soon, sent_s=101.5, ended_s=101.6, deadline_s=104.0)
+        self.assert_kept(observations(soon, history=history))
+        self.assert_broken("config", observations(late, history=history))
+
+    def test_run_with_a_removed_key_is_found(self):
+        history = History(0.0)
+        history.change(90.0, has_spare_key=False)
+        self.assert_broken("config", observations(attempt(key=SPARE_KEY), history=history))
+
+    def test_removed_key_at_an_entry_cut_off_from_the_store_is_allowed(self):
+        history = History(0.0)
+        history.change(90.0, has_spare_key=False)
+        timeline = Timeline()
+        timeline.disturb_entry(0, 89.0)
+        seen = observations(attempt(key=SPARE_KEY), history=history, timeline=timeline)
+        self.assert_kept(seen)
+
+    def test_denial_of_an_added_route_is_found(self):
+        denied = attempt(path=TOGGLED_PATH, status=404, signature="")
+        self.assert_broken("denied", observations(denied, runs={}, arrivals=[]))
+
+    def test_request_to_a_leaving_target_is_found_after_its_bound_only(self):
+        self.assert_kept(observations(attempt(), left_s={"t0-1": 98.0}))
+        self.assert_broken("drain", observations(attempt(), left_s={"t0-1": 96.0}))
+
+    def test_retries_beyond_the_budget_are_found(self):
+        arrivals = [arrival(100.0 + number / 10) for number in range(5)]
+        self.assert_broken("retry_budget", observations(attempt(), arrivals=arrivals))
+
+    def test_answer_long_after_the_deadline_is_found(self):
+        self.assert_broken("overdue", observations(attempt(ended_s=105.0)))
+
+    def test_request_that_never_ends_is_found(self):
+        stuck = closed(ended_s=104.5, has_left=True, is_overdue=True)
+        self.assert_broken("overdue", observations(stuck))
+
+    def test_reservation_that_is_kept_is_found(self):
+        ticket = IdleTicket(instance_id="t0-1", name="w1", idle_s=6.0)
+        self.assert_broken("memory", observations(idle_tickets=[ticket]))
+        self.assert_broken("memory", observations(held_tickets=["t0-1: w1"]))
+
+    def test_bad_exit_is_found(self):
+        for code, was_asked in ((1, True), (None, True), (0, False)):
+            with self.subTest(code=code, was_asked=was_asked):
+                ended = Exit(entry=0, code=code, was_asked=was_asked)
+                self.assert_broken("exit", observations(exits=[ended]))
+
+    def test_entry_that_serves_nothing_after_the_last_fault_is_found(self):
+        refused = [
+            attempt(request_id=f"a{number}", status=503, signature="") for number in range(20)
+        ]
+        self.assert_broken("recovery", observations(*refused, runs={}, arrivals=[]))
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_seed_gives_the_same_schedule_each_time(self):
+        self.assertEqual(draw(7), draw(7))
+        self.assertNotEqual(draw(7), draw(8))
+
+    def test_optional_faults_are_not_drawn_unless_asked_for(self):
+        drawn = {fault.kind for seed in range(200) for fault in draw(seed).faults}
+        self.assertEqual(drawn, set(FaultKind) - OPTIONAL_FAULTS)
+
+    def test_schedule_is_the_same_after_a_file(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "schedule.json"
+            save(draw(7), path)
+            self.assertEqual(load(path), draw(7))
+
+    def test_each_regression_has_a_cause(self):
+        for case in load_regressions():
+            self.assertTrue(case.cause.strip(), case.seed)
+
+
+class ShrinkTest(unittest.TestCase):
+    def shrink(self, needed, max_runs=100):
+        played = []
+        faults = tuple(
+            Fault(at_s=float(n), kind=FaultKind.ENTRY_KILL, subject=n, for_s=1.0) for n in range(10)
+        )
+
+        async def fails(schedule):
+            played.append(schedule)
+            return needed <= {fault.subject for fault in schedule.faults}
+
+        schedule = replace(draw(7), faults=faults)
+        smallest = asyncio.run(shrink(schedule, fails, max_runs))
+        return {fault.subject for fault in smallest.faults}, len(played)
+
+    def test_only_the_faults_that_are_needed_stay(self):
+        for needed in (set(), {3}, {0, 9}, {2, 3, 7}):
+            with self.subTest(needed=needed):
+                self.assertEqual(self.shrink(needed)[0], needed)
+
+    def test_number_of_runs_is_limited(self):
+        smallest, runs = self.shrink({0, 9}, max_runs=3)
+        self.assertEqual(runs, 3)
+        self.assertLessEqual({0, 9}, smallest)
+
+
+class SeededRunTest(unittest.TestCase):
+    def test_real_entries_keep_the_promises_under_the_faults_of_one_seed(self):
+        schedule = draw(CI_SEED, entries=2, load_s=CI_LOAD_S)
+        with tempfile.TemporaryDirectory() as directory:
+            verdict = asyncio.run(play(schedule, directory=Path(directory), source=SOURCE))
+        self.assertEqual(verdict.violations, ())
+        self.assertGreater(verdict.served, 100)
