Soak: a close at once of a connection in use is found; regressions keep their schedules

A refusal that was replaced by a close (planted in a scratch copy) passed as a request that crossed the close of an unused connection; that now needs a connection that was idle up to its limit, or a shutdown.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -72,10 +72,10 @@
     """Play each seed that ever failed."""
     failed = []
     for case in load_regressions():
-        verdict = _play(draw(case.seed), directory / f"seed-{case.seed}", source)
+        verdict = _play(case.schedule, directory / f"seed-{case.seed}", source)
         if verdict.violations:
             failed.append(case.seed)
-            typer.echo(f"seed {case.seed} failed; its cause was: {case.cause}")
+            typer.echo(f"seed {case.seed} failed; it was known for {case.rule}: {case.cause}")
     sys.exit(bool(failed))
 
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -167,6 +167,7 @@
             entry=self._entry,
             sent_s=self._loop.time(),
             deadline_s=deadline_s,
+            idle_s=connection.unused_s(),
         )
         self._attempts.append(attempt)
         connection.start(_render(ask, attempt))
@@ -194,8 +195,7 @@
     async def _connect(self) -> Connection | None:
         connection = self._connection
         if connection is not None:
-            idle_s = self._loop.time() - connection.last_used_s
-            if connection.is_open and idle_s <= self._usable_idle_s():
+            if connection.is_open and connection.unused_s() <= self._usable_idle_s():
                 return connection
             self._drop_connection()
         rotation = [entry for entry in self._entries if entry.is_in_rotation]
--- a/bench/soak/client.py
+++ b/bench/soak/client.py
@@ -82,6 +82,12 @@
         assert self._answer is not None
         return self._answer
 
+    def unused_s(self) -> float:
+        """Return for how long it was unused since its last answer; 0 if it has had none."""
+        if not self.last_used_s:
+            return 0.0
+        return asyncio.get_running_loop().time() - self.last_used_s
+
     def close(self) -> None:
         """Close the connection."""
         self.is_open = False
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 from bench.soak.callers import Callers
-from bench.soak.checks import MACHINE_SLACK_S, Observations, Violation, find_violations
+from bench.soak.checks import Violation, find_violations
 from bench.soak.entries import FREE_S
 from bench.soak.faults import carry_out
+from bench.soak.observations import MACHINE_SLACK_S, Observations
 from bench.soak.record import Shutdown
 from bench.soak.schedule import Schedule, save
 from bench.soak.system import System
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -17,6 +17,7 @@
         key: The key.
         entry: The number of the entry.
         sent_s: When the last byte of the request was sent.
+        idle_s: How long its connection was unused before; 0 for the first request on it.
         deadline_s: When the caller stops waiting.
         ended_s: When the answer was complete, the connection closed or the caller left.
         status: The status; 0 if none came.
@@ -35,6 +36,7 @@
     entry: int
     sent_s: float
     deadline_s: float
+    idle_s: float = 0.0
     ended_s: float = NEVER_S
     status: int = 0
     is_whole: bool = False
@@ -117,6 +119,15 @@
             number == entry and begin_s <= killed_s <= end_s for number, killed_s in self.kills
         )
 
+    def is_shutting_down(self, entry: int, begin_s: float, end_s: float, shutdown_s: float) -> bool:
+        """Return whether the shutdown of an entry overlaps a time."""
+        return any(
+            shutdown.entry == entry
+            and shutdown.began_s <= end_s
+            and shutdown.began_s + shutdown_s >= begin_s
+            for shutdown in self.shutdowns
+        )
+
     def last_end_s(self) -> float:
         """Return when the last disturbance ended."""
         groups = (*self._entries.values(), *self._targets.values(), self._store)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from bench.soak.checks import Observations, find_violations
+from bench.soak.checks import find_violations
 from bench.soak.configuration import MOVING_PATH, SPARE_KEY, TOGGLED_PATH, History
 from bench.soak.entries import Exit
+from bench.soak.observations import Observations
 from bench.soak.play import play
 from bench.soak.record import Attempt, Shutdown, Timeline
 from bench.soak.regressions import load_regressions
@@ -136,10 +137,24 @@
     def test_close_at_the_deadline_is_allowed(self):
         self.assert_kept(observations(closed(ended_s=103.0)))
 
-    def test_request_that_crosses_a_close_is_allowed_unless_it_was_passed_on(self):
-        crossing = closed(ended_s=100.1)
+    def test_request_that_crosses_the_close_of_an_idle_connection_is_allowed(self):
+        crossing = closed(ended_s=100.1, idle_s=7.9)
         self.assert_kept(observations(crossing, arrivals=[], runs={}))
-        self.assert_broken("no_answer", observations(crossing))
+
+    def test_request_that_crosses_the_close_of_a_shutdown_is_allowed(self):
+        timeline = Timeline(shutdowns=[Shutdown(entry=0, began_s=98.0)])
+        crossing = closed(ended_s=100.1, idle_s=0.2)
+        self.assert_kept(observations(crossing, arrivals=[], runs={}, timeline=timeline))
+
+    def test_close_at_once_of_a_connection_in_use_is_found(self):
+        for idle_s in (0.0, 1.0):
+            with self.subTest(idle_s=idle_s):
+                refused = closed(ended_s=100.1, idle_s=idle_s)
+                seen = observations(refused, arrivals=[], runs={})
+                self.assert_broken("no_answer", seen)
+
+    def test_close_of_an_idle_connection_after_the_request_was_passed_on_is_found(self):
+        self.assert_broken("no_answer", observations(closed(ended_s=100.1, idle_s=7.9)))
 
     def test_failure_of_a_request_whose_target_is_sound_is_found(self):
         self.assert_broken("given_up", observations(attempt(status=502, signature="")))
@@ -244,9 +259,10 @@
             save(draw(7), path)
             self.assertEqual(load(path), draw(7))
 
-    def test_each_regression_has_a_cause(self):
+    def test_each_regression_has_a_cause_and_its_schedule(self):
         for case in load_regressions():
             self.assertTrue(case.cause.strip(), case.seed)
+            self.assertEqual(case.schedule.seed, case.seed)
 
 
 class ShrinkTest(unittest.TestCase):
