--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -15,6 +15,8 @@
 REPOSITORY = Path(__file__).parents[2]
 SHOWN_VIOLATIONS = 8
 SHRUNK_FILE = "shrunk.json"
+# As a shell reports SIGTERM.
+EXIT_TERMINATED = 143
 
 Directory = Annotated[Path, typer.Option(help="where logs, schedules and verdicts are written")]
 Source = Annotated[Path, typer.Option(help="the directory of the programs' source")]
@@ -80,7 +82,11 @@
 
 
 def _play(schedule: Schedule, directory: Path, source: Path) -> Verdict:
-    verdict = asyncio.run(play(schedule, directory=directory, source=source))
+    try:
+        verdict = asyncio.run(play(schedule, directory=directory, source=source))
+    except asyncio.CancelledError:
+        typer.echo(f"seed {schedule.seed}: ended by SIGTERM")
+        raise typer.Exit(EXIT_TERMINATED) from None
     typer.echo(
         f"seed {schedule.seed}: {len(schedule.faults)} faults, {verdict.served} of "
         f"{verdict.attempts} requests served, longest lag {verdict.longest_lag_s:.2f} s, "
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -231,7 +231,8 @@
 def check_exits(seen: Observations) -> Iterator[Violation]:
     """Entries exit only when asked to, with code 0 and in time."""
     for ended in seen.exits:
-        if ended.was_asked and ended.code is None and seen.timeline.freezes[ended.entry]:
+        frozen_s = seen.timeline.frozen_s(ended.entry, ended.asked_s, ended.ended_s)
+        if ended.was_asked and ended.code is None and frozen_s:
             # A suspended process can't exit in time.
             continue
         if ended.code != 0 or not ended.was_asked:
--- a/bench/soak/entries.py
+++ b/bench/soak/entries.py
@@ -56,11 +56,15 @@
     Attributes:
         code: The exit code; None if it had to be killed after its time.
         was_asked: Whether SIGTERM was sent.
+        asked_s: When it was sent; 0 if it was not.
+        ended_s: When the exit was seen.
     """
 
     entry: int
     code: int | None
     was_asked: bool
+    asked_s: float = 0.0
+    ended_s: float = 0.0
 
 
 class EntryProcess:
@@ -184,6 +188,8 @@
         process = self._process
         if process is None:
             return True
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
         process.send_signal(signal.SIGTERM)
         try:
             code: int | None = await asyncio.to_thread(
@@ -193,7 +199,10 @@
             code = None
             await self.kill()
         self._process = None
-        self.exits.append(Exit(entry=self.number, code=code, was_asked=True))
+        ended = Exit(
+            entry=self.number, code=code, was_asked=True, asked_s=asked_s, ended_s=loop.time()
+        )
+        self.exits.append(ended)
         return code is not None
 
     def check_own_exit(self) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -237,6 +237,15 @@
                 ended = Exit(entry=0, code=code, was_asked=was_asked)
                 self.assert_broken("exit", observations(exits=[ended]))
 
+    def test_late_exit_is_allowed_only_if_the_entry_was_suspended_meanwhile(self):
+        ended = Exit(entry=0, code=None, was_asked=True, asked_s=50.0, ended_s=60.0)
+        for frozen_at_s, is_allowed in ((55.0, True), (10.0, False)):
+            with self.subTest(frozen_at_s=frozen_at_s):
+                timeline = Timeline()
+                timeline.freeze(0, frozen_at_s).ended_s = frozen_at_s + 1.0
+                seen = observations(exits=[ended], timeline=timeline)
+                self.assertEqual(find_violations(seen) == [], is_allowed)
+
     def test_entry_that_serves_nothing_after_the_last_fault_is_found(self):
         refused = [
             attempt(request_id=f"a{number}", status=503, signature="") for number in range(20)
