--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -290,6 +290,7 @@
     return (
         f"{attempt.kind} {attempt.path} at entry {attempt.entry}: status {attempt.status}, "
         f"whole {attempt.is_whole}, {len(attempt.body)} bytes, "
+        f"idle {attempt.idle_s:.2f} s before, "
         f"took {attempt.ended_s - attempt.sent_s:.2f} of {attempt.deadline_s - attempt.sent_s:.2f}"
         f" s; arrived at {arrivals or 'no target'}; ran at {runs or 'no target'}"
     )
--- a/bench/soak/system.py
+++ b/bench/soak/system.py
@@ -124,6 +124,14 @@
             await relay.close()
         self.store.close()
 
+    def disturb_stand_ins(self, began_s: float) -> None:
+        """Record that store and targets did not run from a time until now."""
+        disturbances = [self.timeline.disturb_store(began_s)]
+        disturbances += [self.timeline.disturb_target(slot.number, began_s) for slot in self.slots]
+        for disturbance in disturbances:
+            disturbance.ended_s = self.now_s
+        self.note(f"stand-ins stalled for {self.now_s - began_s:.2f} s")
+
     def publish(self) -> None:
         """Write the newest configuration to the store."""
         engine = ENGINE | {"kv_capacity_tokens": ENGINE_MEMORY_TOKENS}
