--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -34,12 +34,13 @@
     older_copies: Annotated[
         bool, typer.Option(help="let the store come back from an older copy, too")
     ] = False,
+    only: Annotated[list[FaultKind] | None, typer.Option(help="draw only these faults")] = None,
     directory: Directory = REPOSITORY / "run" / "soak",
     source: Source = REPOSITORY / "src",
     max_shrinks: MaxShrinks = 0,
 ) -> None:
     """Play seeds one after another."""
-    kinds = frozenset(FaultKind) if older_copies else None
+    kinds = frozenset(only or FaultKind) if only or older_copies else None
     failed = []
     for number in range(seed, seed + count):
         schedule = draw(number, entries=entries, load_s=load_s, kinds=kinds)
