--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -66,11 +66,13 @@
 def _has_crossed_close(seen: Observations, attempt: Attempt) -> bool:
     """Return whether the entry closed an unused connection as the request came."""
     begin_s, end_s = attempt.sent_s, attempt.ended_s
-    waited_s = end_s - begin_s - seen.timeline.frozen_s(attempt.entry, begin_s, end_s)
+    frozen_s = seen.timeline.frozen_s(attempt.entry, begin_s, end_s)
+    waited_s = end_s - begin_s - frozen_s
     if seen.arrivals_of(attempt) or waited_s > CROSSING_S:
         return False
     shortest_s = min(version.idle_limit_ms for version in seen.history.versions) / 1000
-    was_idle = attempt.idle_s >= shortest_s - CROSSING_S
+    # As the entry counts it, the time for which it was suspended before it could read is idle, too.
+    was_idle = attempt.idle_s + frozen_s >= shortest_s - CROSSING_S
     return was_idle or seen.timeline.is_shutting_down(
         attempt.entry, begin_s, end_s, seen.deployment.shutdown_s
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -146,6 +146,15 @@
         crossing = closed(ended_s=100.1, idle_s=0.2)
         self.assert_kept(observations(crossing, arrivals=[], runs={}, timeline=timeline))
 
+    def test_request_that_crosses_the_idle_limit_of_a_suspended_entry_is_allowed(self):
+        timeline = Timeline()
+        timeline.freeze(0, 99.9).ended_s = 102.4
+        for idle_s, is_allowed in ((6.0, True), (4.0, False)):
+            with self.subTest(idle_s=idle_s):
+                crossing = closed(ended_s=102.5, idle_s=idle_s)
+                seen = observations(crossing, arrivals=[], runs={}, timeline=timeline)
+                self.assertEqual(find_violations(seen) == [], is_allowed)
+
     def test_close_at_once_of_a_connection_in_use_is_found(self):
         for idle_s in (0.0, 1.0):
             with self.subTest(idle_s=idle_s):
