--- a/bench/soak/entries.py
+++ b/bench/soak/entries.py
@@ -11,15 +11,15 @@
 from pathlib import Path
 
 from bench.soak.client import Connection
+from bench.soak.configuration import CONVERGE_S
 
 FRONT_PORT = 8227
 READY_PORT = 8220
-FIRST_PEER_PORT = 7340
 READY_LIMIT_S = 20.0
 POLL_S = 0.1
 POLL_TIMEOUT_S = 1.0
 # Time beyond its shutdown limit that an entry gets to exit, as the machine may be busy.
-EXIT_SLACK_S = 3.0
+EXIT_SLACK_S = 1.0
 DRAIN_S = 2.0
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
@@ -32,17 +32,17 @@
 zone = "{data_centre}"
 internal_port_range = [7340, 7355]
 [listen]
-front = "{host}:8227"
-ready = "{host}:8220"
+front = "{host}:{front_port}"
+ready = "{host}:{ready_port}"
 [bounds]
 grace_s = {shutdown_s}
-drain_ms = 2000
-config_converge_ms = 2000
-retry_budget_ratio = 0.2
-budget_window_s = 10
+drain_ms = {drain_ms}
+config_converge_ms = {converge_ms}
+retry_budget_ratio = {retry_ratio}
+budget_window_s = {retry_window_s}
 retry_budget_slack = {retry_slack}
 hold_max_ms = 20000
-free_ms = 4000
+free_ms = {free_ms}
 idle_max_ms = 9000
 [platform]
 address = "{store}"
@@ -114,6 +114,13 @@
             store=store,
             shutdown_s=shutdown_s,
             retry_slack=retry_slack,
+            front_port=FRONT_PORT,
+            ready_port=READY_PORT,
+            drain_ms=int(DRAIN_S * 1000),
+            converge_ms=int(CONVERGE_S * 1000),
+            retry_ratio=RETRY_RATIO,
+            retry_window_s=RETRY_WINDOW_S,
+            free_ms=int(FREE_S * 1000),
         )
         self._process: subprocess.Popen[bytes] | None = None
 
