Ingress: chunk framing and trailers have a limit, pipelined requests wait for their turn

Seen: a caller could send a chunk extension or a trailer without an end for 10 s, of which httptools keeps a trailer in memory; and reading was resumed after each response although more than eight requests waited, so that the queue of pipelined requests grew without a limit. Reading is resumed only when few requests, and few bytes of bodies, wait. A body in tiny chunks is kept as bytes, not as a list of parts.

--- a/src/cicadatiller/ingress/__init__.py
+++ b/src/cicadatiller/ingress/__init__.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server for callers."""
 
 from ._connection import Handler, IngressConnection, Responder
+from ._framing import LINE_OVERHEAD_BYTES, FramingCounter
 from ._limits import IngressLimits
 from ._parser import BadRequestError, RequestParser
 from ._request import Header, Request, find_header
@@ -10,11 +11,13 @@
 __all__ = [
     "Response",
     "BadRequestError",
+    "FramingCounter",
     "Handler",
     "Header",
     "IngressConnection",
     "IngressLimits",
     "IngressServer",
+    "LINE_OVERHEAD_BYTES",
     "REASON_PHRASES",
     "Request",
     "RequestParser",
--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -21,6 +21,7 @@
 
 REQUEST_TIMEOUT = 408
 MAX_PENDING_REQUESTS = 8
+MAX_PENDING_BODY_BYTES = 256 * 1024
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 BODY_TIMEOUT_S = 10.0
 LINGER_S = 0.2
@@ -142,7 +143,7 @@
         if self._parser.expects_continue and not self.is_busy:
             self._parser.expects_continue = False
             self._write(CONTINUE)
-        if len(self._pending) >= MAX_PENDING_REQUESTS and self._transport is not None:
+        if self._is_full() and self._transport is not None:
             self._transport.pause_reading()
         self._update_timer()
 
@@ -214,10 +215,15 @@
 
     def _resume_reading(self) -> None:
         self._parser.limits = self._limits()
-        if self._transport is not None and not self._has_ended:
+        if self._transport is not None and not self._has_ended and not self._is_full():
             self._transport.resume_reading()
         self._update_timer()
 
+    def _is_full(self) -> bool:
+        """Return whether the pipelined requests that wait are as many, or as large, as allowed."""
+        body_bytes = sum(len(request.body) for request in self._pending)
+        return len(self._pending) >= MAX_PENDING_REQUESTS or body_bytes > MAX_PENDING_BODY_BYTES
+
     async def _refuse(self, error: BadRequestError) -> None:
         log_event(Event.CALLER_REFUSED, status=error.status, reason=str(error))
         answer = Response(status=error.status, body=str(error).encode() + b"\n")
--- a/src/cicadatiller/ingress/_parser.py
+++ b/src/cicadatiller/ingress/_parser.py
@@ -4,11 +4,13 @@
 
 import httptools
 
+from ._framing import LINE_OVERHEAD_BYTES, FramingCounter
 from ._limits import IngressLimits
 from ._request import Header, Request
 
 HTTP_VERSIONS = ("1.0", "1.1")
-LINE_OVERHEAD_BYTES = 4
+# Chunks of one byte are allowed for any body.
+FRAMING_PER_BODY_BYTE = 8
 
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
@@ -71,7 +73,7 @@
         if self.error is not None:
             return []
         self._now_s = now_s
-        began_within_head = self.is_within_head
+        framing = self._framing
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -79,8 +81,8 @@
             self._ready.clear()
         except httptools.HttpParserError as error:
             self._set_error(BAD_REQUEST, str(error))
-        if began_within_head and self.is_within_head:
-            self._check_unfinished_head(len(data))
+        if framing is self._framing:
+            self._check_framing(len(data))
         ready, self._ready = self._ready, []
         return ready
 
@@ -126,9 +128,9 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         self.expects_continue = False
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self.limits.max_body_bytes:
+        self._framing.add_body(len(body))
+        self._body += body
+        if len(self._body) > self.limits.max_body_bytes:
             self._refuse(BODY_TOO_LARGE, "the body is too long")
 
     def on_message_complete(self) -> None:
@@ -140,7 +142,7 @@
                 method=self._parser.get_method(),
                 target=bytes(self._target),
                 headers=tuple(self._headers),
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 keep_alive=self._parser.should_keep_alive(),
                 read_at_s=self._now_s,
             )
@@ -150,22 +152,26 @@
         self._begun = False
         self._target = bytearray()
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._unfinished_head_bytes = 0
+        self._body = bytearray()
+        self._framing = FramingCounter(per_body_byte=FRAMING_PER_BODY_BYTE)
 
     def _count_head(self, size_bytes: int) -> None:
-        self._head_bytes += size_bytes
-        if self._head_bytes > self.limits.max_header_bytes:
+        self._framing.add_header(size_bytes)
+        if self._framing.exceeds(self.limits.max_header_bytes):
             self._refuse(HEADERS_TOO_LARGE, "the request line and headers are too long")
 
-    def _check_unfinished_head(self, size_bytes: int) -> None:
-        # httptools reports a header only once it is complete, so `on_header` would never count a
-        # header without an end.
-        self._unfinished_head_bytes += size_bytes
-        if self._unfinished_head_bytes > self.limits.max_header_bytes:
+    def _check_framing(self, size_bytes: int) -> None:
+        """Check what has come of a request without an end, or between two requests.
+
+        Data in which a request begins is not counted, as it may hold the end of another one.
+        """
+        self._framing.add_data(size_bytes)
+        if not self._framing.exceeds(self.limits.max_header_bytes):
+            return
+        if self.is_within_head:
             self._set_error(HEADERS_TOO_LARGE, "the request line and headers are too long")
+        else:
+            self._set_error(BAD_REQUEST, "too many bytes outside of the request's body")
 
     def _check_version(self) -> None:
         version = self._parser.get_http_version()
