Responses without an end: bounded heads, bodies, framing and events

Seen: a header, a status line, interim responses, a chunk's size line or extension, trailers, and late responses were read without an end, until the entry closed; bodies were kept up to 64 MiB for each call, events up to 1 MiB, with a search of the whole buffer for each part. Change: ResponseLimits checks all that is not body (16 KiB, 256 headers, 3 s for a head), a body that is read whole has 1 MiB, 5 s and a share of 4 MiB that all bodies have together beyond 32 KiB each; an event has 64 KiB with the comments before it, and 3 s in which bytes of it arrive. The connection is closed at once, the attempt is lost, with the target and the reason in the log. A page of the store has 4 MiB, and pages that repeat fail the read. On the code before, the tests do not end (stopped after 8 s), reach their time limit, or find 23 MB where 4 MB may be; those of values and sizes that must pass were green before.

--- a/src/cicadatiller/egress/__init__.py
+++ b/src/cicadatiller/egress/__init__.py
@@ -1,19 +1,16 @@
 """The HTTP/1.1 client for targets and the platform."""
 
-from ._connection import (
-    ConnectionLostError,
-    EgressConnection,
-    EgressError,
-    MalformedResponseError,
-    ResponseHead,
-    open_connection,
-)
+from ._buffers import BufferBudget
+from ._connection import EgressConnection, open_connection
 from ._dial import ConnectTimeoutEstimator
+from ._errors import ConnectionLostError, EgressError, MalformedResponseError
 from ._keepalive import TcpKeepalive, configure_keepalive
 from ._pool import ConnectionPool, PoolLimits
 from ._request import render_request
+from ._response import ResponseHead
 
 __all__ = [
+    "BufferBudget",
     "MalformedResponseError",
     "ConnectTimeoutEstimator",
     "ConnectionLostError",
--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -3,53 +3,24 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import httptools
 
-from ..ingress import Header, find_header
+from ..ingress import Header
+from ._buffers import BufferBudget, BufferHold
+from ._errors import ConnectionLostError, EgressError, MalformedResponseError
 from ._keepalive import TcpKeepalive, configure_keepalive
+from ._response import ResponseHead, build_head
+from ._response_limits import ResponseLimits
 
-READ_HIGH_WATER_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 64 * 1024
+READ_HIGH_WATER_BYTES = 32 * 1024
+# Bounds the events of one part, which take more memory than their bytes.
+MAX_PART_BYTES = 4 * 1024
+BODY_TIMEOUT_S = 5.0
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 
 FIRST_FINAL_STATUS = 200
-NO_CONTENT = 204
-NOT_MODIFIED = 304
-
-
-class EgressError(Exception):
-    """An exchange ended without a complete response."""
-
-
-class ConnectionLostError(EgressError):
-    """The connection could not be opened, or was lost before the response was complete."""
-
-
-class MalformedResponseError(EgressError):
-    """The server sent data that is not a valid response, or a response above a size limit."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ResponseHead:
-    """The status and headers of a response.
-
-    Attributes:
-        status: The status code.
-        headers: The header names as sent and their values, in order.
-        has_length: Whether the headers or the status define the end of the body; otherwise it
-            ends when the server closes the connection.
-    """
-
-    status: int
-    headers: tuple[Header, ...]
-    has_length: bool
-
-    def find(self, name: bytes) -> bytes | None:
-        """Return the value of the first header with a lower-case name, or None."""
-        return find_header(self.headers, name)
 
 
 class EgressConnection(asyncio.Protocol):
@@ -57,6 +28,13 @@
 
     `httptools` calls the methods whose names begin with `on_`.
 
+    What a server sends beside the body is limited by `ResponseLimits`; the connection is closed
+    as soon as a limit is exceeded.
+
+    Args:
+        address: The address of the server, "host:port".
+        budget: Limits what bodies that are read whole hold together.
+
     Attributes:
         address: The address of the server, "host:port".
         is_open: Whether requests can be sent.
@@ -67,7 +45,7 @@
             it announced none.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, budget: BufferBudget) -> None:
         self.address = address
         self.is_open = True
         self.is_reused = False
@@ -78,8 +56,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._heads: deque[ResponseHead] = deque()
-        self._body: deque[bytes] = deque()
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._hold = BufferHold(budget=budget)
         self._read_paused = False
         self._is_complete = False
         self._may_reuse = False
@@ -87,13 +65,13 @@
         self._error: EgressError | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._headers: list[Header] = []
-        self._head_bytes = 0
+        self._limits = ResponseLimits()
+        self._declared_bytes = 0
         self._has_head = False
         self._reads_until_close = False
         self._write_paused = False
         self._matches_request: Callable[[ResponseHead], bool] | None = None
         self._is_discarding = False
-        self._refusal = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its write buffer limit."""
@@ -111,12 +89,15 @@
         self.received_s = self._loop.time()
         try:
             self._parser.feed_data(data)
+            if not self._is_complete:
+                self._limits.add_data(len(data), self.received_s)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._is_complete:
                 self._may_reuse = False
             else:
-                reason = self._refusal or f"cannot parse the response: {error}"
-                self._fail(MalformedResponseError(f"{reason} (from {self.address})"))
+                self._fail(self._error_of(_parse_failure(error)))
+        except MalformedResponseError as error:
+            self._fail(self._error_of(str(error)))
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -140,28 +121,28 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = []
-        self._head_bytes = 0
+        self._limits.begin_head(self.received_s)
         self._has_head = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers after the body are ignored."""
         if self._has_head:
             return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._refuse(f"response headers exceed {MAX_HEAD_BYTES} bytes")
+        self._limits.add_header(name, value)
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Make the head of a final response available to `read_head`."""
+        self._limits.end_head()
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
         self._has_head = True
-        has_length = self._has_framing(status)
-        self._reads_until_close = not has_length
-        head = ResponseHead(status=status, headers=tuple(self._headers), has_length=has_length)
-        self._read_keep_alive(head)
+        head = build_head(status, self._headers)
+        self._reads_until_close = not head.has_length
+        self._declared_bytes = head.declared_bytes
+        if head.keep_alive_s is not None:
+            self.keep_alive_s = head.keep_alive_s
         # A late response to an earlier request is discarded with its body.
         self._is_discarding = self._matches_request is not None and not self._matches_request(head)
         if not self._is_discarding:
@@ -171,12 +152,13 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body and pause reading while the buffer is full."""
         if self._is_complete:
-            self._refuse("received data after the end of the response")
+            raise MalformedResponseError("received data after the end of the response")
+        self._limits.add_body(len(body))
         if self._is_discarding:
+            self._limits.add_discarded(len(body))
             return
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > READ_HIGH_WATER_BYTES and not self._read_paused:
+        self._body += body
+        if len(self._body) > READ_HIGH_WATER_BYTES and not self._read_paused:
             self._read_paused = True
             self._require_transport().pause_reading()
         self._notify()
@@ -186,17 +168,12 @@
         if not self._has_head:
             return
         if self._is_complete:
-            self._refuse("received a second response to one request")
+            raise MalformedResponseError("received a second response to one request")
         if self._is_discarding:
             self._is_discarding = False
             return
         self._complete(may_reuse=self._parser.should_keep_alive())
 
-    def _refuse(self, reason: str) -> None:
-        # httptools replaces an exception of a callback by its own, so the reason is kept here.
-        self._refusal = reason
-        raise MalformedResponseError(reason)
-
     def start(
         self, request: bytes, *, matches_request: Callable[[ResponseHead], bool] | None = None
     ) -> None:
@@ -217,6 +194,7 @@
         self._is_complete = False
         self._may_reuse = False
         self._reads_until_close = False
+        self._limits = ResponseLimits()
         self._require_transport().write(request)
 
     @property
@@ -236,30 +214,37 @@
             if self._is_complete:
                 return b""
             await self._wait()
-        part = self._body.popleft()
-        self._body_bytes -= len(part)
-        if self._read_paused and self._body_bytes <= READ_HIGH_WATER_BYTES // 2:
+        part = bytes(self._body[:MAX_PART_BYTES])
+        del self._body[:MAX_PART_BYTES]
+        if self._read_paused and len(self._body) <= READ_HIGH_WATER_BYTES // 2:
             self._read_paused = False
             self._require_transport().resume_reading()
         return part
 
     async def read_whole_body(self, max_bytes: int) -> bytes:
-        """Wait for the complete body.
+        """Wait for the complete body, which counts as held in memory until the exchange ends.
 
         Raises:
-            EgressError: If the body is incomplete, malformed or longer than `max_bytes`.
+            EgressError: If the body is incomplete, malformed or longer than `max_bytes`, if it
+                still comes `BODY_TIMEOUT_S` after its beginning, or if the bodies of all
+                connections hold too much.
         """
-        parts: list[bytes] = []
-        size_bytes = 0
+        body = bytearray()
+        began_s = self._loop.time()
+        if self._declared_bytes > max_bytes:
+            raise self._error_of(f"response body exceeds {max_bytes} bytes")
         while part := await self.read_body():
-            size_bytes += len(part)
-            if size_bytes > max_bytes:
-                raise MalformedResponseError(f"response body exceeds {max_bytes} bytes")
-            parts.append(part)
-        return b"".join(parts)
+            body += part
+            if len(body) > max_bytes:
+                raise self._error_of(f"response body exceeds {max_bytes} bytes")
+            if not self._is_complete and self._loop.time() - began_s > BODY_TIMEOUT_S:
+                raise self._error_of(f"response body is incomplete after {BODY_TIMEOUT_S:.0f} s")
+            self._hold.grow(len(body))
+        return bytes(body)
 
     def finish(self) -> bool:
         """End the exchange and return whether the connection is reusable; close it if not."""
+        self._hold.release()
         reusable = self.is_open and self._is_complete and self._may_reuse
         # While this request is partly unsent, the next one would be queued behind its remainder.
         if not reusable or self._body or self._heads or self._write_paused:
@@ -277,20 +262,8 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _has_framing(self, status: int) -> bool:
-        if status in (NO_CONTENT, NOT_MODIFIED):
-            return True
-        names = {name.lower() for name, _ in self._headers}
-        return b"content-length" in names or b"transfer-encoding" in names
-
-    def _read_keep_alive(self, head: ResponseHead) -> None:
-        value = head.find(b"keep-alive")
-        if value is None:
-            return
-        for part in value.split(b","):
-            name, _, seconds = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and seconds.isdigit():
-                self.keep_alive_s = float(seconds)
+    def _error_of(self, reason: str) -> MalformedResponseError:
+        return MalformedResponseError(f"{reason} (from {self.address})")
 
     def _complete(self, *, may_reuse: bool) -> None:
         self._is_complete = True
@@ -322,20 +295,39 @@
         return self._transport
 
 
+def _parse_failure(error: Exception) -> str:
+    """Return why a response could not be parsed."""
+    # httptools replaces an exception of a callback by its own, of which it is the context.
+    if isinstance(error.__context__, MalformedResponseError):
+        return str(error.__context__)
+    return f"cannot parse the response: {error}"
+
+
 async def open_connection(
-    address: str, *, timeout_s: float, keepalive: TcpKeepalive
+    address: str,
+    *,
+    timeout_s: float,
+    keepalive: TcpKeepalive,
+    budget: BufferBudget | None = None,
 ) -> EgressConnection:
     """Open a connection to "host:port".
 
+    Args:
+        address: The address.
+        timeout_s: The time limit.
+        keepalive: The TCP keepalive of the connection.
+        budget: Limits the bodies that are read whole; None for a budget of its own.
+
     Raises:
         ConnectionLostError: If the connection can't be opened in time; no request was sent.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
+    budget = budget or BufferBudget()
     try:
         async with asyncio.timeout(timeout_s):
             transport, connection = await loop.create_connection(
-                lambda: EgressConnection(address=address), host, int(port)
+                lambda: EgressConnection(address=address, budget=budget), host, int(port)
             )
     except (OSError, ValueError) as error:
         raise ConnectionLostError(f"cannot connect to {address}: {error!r}") from error
--- a/src/cicadatiller/egress/_pool.py
+++ b/src/cicadatiller/egress/_pool.py
@@ -4,9 +4,12 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from ._connection import ConnectionLostError, EgressConnection, ResponseHead, open_connection
+from ._buffers import BufferBudget
+from ._connection import EgressConnection, open_connection
 from ._dial import ConnectTimeoutEstimator
+from ._errors import ConnectionLostError
 from ._keepalive import TcpKeepalive
+from ._response import ResponseHead
 
 KEEP_ALIVE_MARGIN_S = 1.0
 
@@ -37,12 +40,14 @@
     Attributes:
         opened: The number of attempts to open a connection.
         reused: The number of times that an idle connection was reused.
+        buffers: Limits the response bodies of all connections of this pool together.
         connect_timeout: Estimates a connect timeout from the connect times of this pool.
     """
 
     def __init__(self, *, limits: PoolLimits | None = None) -> None:
         self._limits = limits or PoolLimits()
         self._idle: dict[str, list[EgressConnection]] = defaultdict(list)
+        self.buffers = BufferBudget()
         self.connect_timeout = ConnectTimeoutEstimator()
         self.opened = 0
         self.reused = 0
@@ -78,7 +83,10 @@
         started_s = loop.time()
         try:
             connection = await open_connection(
-                address, timeout_s=timeout_s, keepalive=self._limits.keepalive
+                address,
+                timeout_s=timeout_s,
+                keepalive=self._limits.keepalive,
+                budget=self.buffers,
             )
         except ConnectionLostError as error:
             if isinstance(error.__cause__, TimeoutError):
--- /dev/null
+++ b/src/cicadatiller/egress/_response.py
@@ -0,0 +1,58 @@
+"""The head of a response."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..ingress import Header, find_header
+
+STATUSES_WITHOUT_BODY = (204, 304)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResponseHead:
+    """The status and headers of a response.
+
+    Attributes:
+        status: The status code.
+        headers: The header names as sent and their values, in order.
+        has_length: Whether the headers or the status define the end of the body; otherwise it
+            ends when the server closes the connection.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    has_length: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of the first header with a lower-case name, or None."""
+        return find_header(self.headers, name)
+
+    @property
+    def declared_bytes(self) -> int:
+        """Return the length of the body by its Content-Length header; 0 if not stated."""
+        value = self.find(b"content-length") or b""
+        if self.status in STATUSES_WITHOUT_BODY or not value.isdigit():
+            return 0
+        return int(value)
+
+    @property
+    def keep_alive_s(self) -> float | None:
+        """Return the idle timeout of the Keep-Alive header; None if not stated."""
+        timeout_s = None
+        for part in (self.find(b"keep-alive") or b"").split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                timeout_s = float(seconds)
+        return timeout_s
+
+
+def build_head(status: int, headers: Iterable[Header]) -> ResponseHead:
+    """Return the head of a response from its parsed parts."""
+    headers = tuple(headers)
+    names = {name.lower() for name, _ in headers}
+    has_length = (
+        status in STATUSES_WITHOUT_BODY
+        or b"content-length" in names
+        or b"transfer-encoding" in names
+    )
+    return ResponseHead(status=status, headers=headers, has_length=has_length)
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -22,7 +22,7 @@
 from ._waiter import Grant
 from ._wire import TargetFields, WireCodec
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 1024 * 1024
 OK = 200
 FIRST_NON_SUCCESS = 300
 FIRST_SERVER_ERROR = 500
--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -62,7 +62,7 @@
         """
         has_begun = False
         while data := await self._read(connection):
-            events = self._splitter.feed(data)
+            events = self._splitter.feed(data, connection.received_s)
             if events and not has_begun:
                 has_begun = True
                 self._on_first_event()
--- a/src/cicadatiller/platform/_log.py
+++ b/src/cicadatiller/platform/_log.py
@@ -22,7 +22,7 @@
 PARTITION = 0
 
 CALL_TIMEOUT_S = 1.5
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_READ_KIB = 1024
 
 LENGTH_BYTES = 4
@@ -52,6 +52,7 @@
     async def read_newest(self, topic: Topic) -> KeyedPage:
         """Return the newest record of each key; raises `StoreUnavailableError`."""
         records: list[KeyedRecord] = []
+        keys: set[str] = set()
         next_offset: int | None = None
         after = ""
         while True:
@@ -73,6 +74,10 @@
             records.extend(page)
             if not has_more or not page:
                 return KeyedPage(records=tuple(records), next_offset=int(next_offset or 0))
+            known_keys = len(keys)
+            keys.update(record.key for record in page)
+            if len(keys) == known_keys:
+                raise StoreUnavailableError("/log-newest repeats its pages without an end")
             after = page[-1].key
 
     async def read(self, topic: Topic, from_offset: int, *, wait_s: float = 0.0) -> KeyedPage:
