--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -15,6 +15,8 @@
 from ._response_limits import ResponseLimits
 
 READ_HIGH_WATER_BYTES = 32 * 1024
+# asyncio would read up to 256 KiB at once, beyond the high-water mark.
+READ_BYTES = 32 * 1024
 # Bounds the events of one part, which take more memory than their bytes.
 MAX_PART_BYTES = 4 * 1024
 BODY_TIMEOUT_S = 5.0
@@ -23,7 +25,11 @@
 FIRST_FINAL_STATUS = 200
 
 
-class EgressConnection(asyncio.Protocol):
+# Shared by all connections, as each read is parsed before the next one begins.
+_read_buffer = bytearray(READ_BYTES)
+
+
+class EgressConnection(asyncio.BufferedProtocol):
     """A connection that this process opened.
 
     `httptools` calls the methods whose names begin with `on_`.
@@ -79,6 +85,14 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle a read."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse data from the server."""
         if not self._is_in_exchange or self._is_complete:
