A report or an order's response that is malformed is logged with its address

Seen: an endless or malformed response to an order or a report was dropped without a line. Also tests of the read buffer on real sockets.

--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -26,7 +26,7 @@
 
 
 # Shared by all connections, as each read is parsed before the next one begins.
-_read_buffer = bytearray(READ_BYTES)
+_read_buffer = memoryview(bytearray(READ_BYTES))
 
 
 class EgressConnection(asyncio.BufferedProtocol):
@@ -85,7 +85,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
+    def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
         return _read_buffer
 
--- a/src/cicadatiller/platform/_orders.py
+++ b/src/cicadatiller/platform/_orders.py
@@ -2,7 +2,7 @@
 
 import json
 
-from ..egress import ConnectionPool, EgressError, render_request
+from ..egress import ConnectionPool, EgressError, MalformedResponseError, render_request
 from ..gateway import EngineReport, ReserveResult
 from ..kernel import Event, log_event
 
@@ -80,6 +80,9 @@
             head, answer = await self._pool.exchange(
                 address, request, timeout_s=CALL_TIMEOUT_S, max_response_bytes=MAX_RESPONSE_BYTES
             )
+        except MalformedResponseError as error:
+            log_event(Event.ENTRY_UNREADABLE, name=address, error=str(error))
+            return None
         except (EgressError, TimeoutError):
             return None
         return head.status, answer
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -3,6 +3,8 @@
 import asyncio
 import gc
 import tracemalloc
+import unittest
+from unittest import mock
 
 from cicadatiller.egress import (
     BufferBudget,
@@ -13,6 +15,7 @@
     open_connection,
     render_request,
 )
+from cicadatiller.egress._connection import READ_BYTES, READ_HIGH_WATER_BYTES
 from cicadatiller.fleet import StoreUnavailableError, Topic
 from cicadatiller.gateway._events import (
     EVENT_TIMEOUT_S,
@@ -21,7 +24,8 @@
     EventTooLongError,
 )
 from cicadatiller.ingress import IngressServer, Response
-from cicadatiller.platform import PlatformLog
+from cicadatiller.kernel import Event
+from cicadatiller.platform import PlatformEngineClient, PlatformLog
 
 from .support.endless import ENDLESS_PARTS, EndlessSender
 from .support.gateways import GatewayCase
@@ -66,6 +70,16 @@
                 self.assertLess(self.server.sent_bytes, MAX_TAKEN_BYTES)
                 self.assertEqual(self.server.open_connections, 0)
 
+    def test_a_report_without_end_is_none_and_logged_with_the_address(self):
+        async def scenario():
+            await self.serve(*ENDLESS_PARTS["body"])
+            return await PlatformEngineClient(pool=ConnectionPool()).report(ADDRESS)
+
+        with mock.patch("cicadatiller.platform._orders.log_event") as log_event:
+            self.assertIsNone(self.run_paused(scenario()))
+        [call] = log_event.mock_calls
+        self.assertEqual((call.args[0], call.kwargs["name"]), (Event.ENTRY_UNREADABLE, ADDRESS))
+
     def test_a_declared_length_above_the_limit_fails_before_the_body(self):
         async def scenario():
             await self.serve(OK_HEAD + b"Content-Length: 1000000000000000000\r\n\r\n", b"")
@@ -139,6 +153,35 @@
         self.assertLess(self.run_paused(scenario()), 4 * 1024 * 1024)
 
 
+class ReadBufferTest(unittest.IsolatedAsyncioTestCase):
+    """Connections on real sockets, as the in-memory ones do not read into a buffer."""
+
+    async def open(self, data):
+        async def serve(reader, writer):
+            writer.write(data)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        connection = await open_connection(
+            f"{host}:{port}", timeout_s=5.0, keepalive=TcpKeepalive()
+        )
+        self.addCleanup(connection.close)
+        connection.start(REQUEST)
+        await connection.read_head()
+        return connection
+
+    async def test_a_body_of_many_reads_arrives_whole(self):
+        body = bytes(range(256)) * 3000
+        connection = await self.open(OK_HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        self.assertEqual(await connection.read_whole_body(len(body)), body)
+
+    async def test_a_connection_that_is_not_read_holds_its_high_water_mark_and_one_read(self):
+        connection = await self.open(OK_HEAD + b"\r\n" + b"x" * 1_000_000)
+        await asyncio.sleep(0.2)
+        self.assertLessEqual(len(connection._body), READ_HIGH_WATER_BYTES + READ_BYTES)
+
+
 class BufferBudgetTest(NetworkCase):
     async def read(self, size, budget):
         head = OK_HEAD + b"Content-Length: %d\r\n\r\n" % size
