--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -72,7 +72,7 @@
             EventTooLongError: If an event is longer than `MAX_EVENT_BYTES`.
         """
         while data := await self._read(connection, has_timeouts=has_timeouts):
-            for event in self._splitter.feed(data):
+            for event in self._splitter.feed(data, connection.received_s):
                 await self._forward_event(event, head)
         return await self._finish(head)
 
--- a/src/cicadatiller/platform/_orders.py
+++ b/src/cicadatiller/platform/_orders.py
@@ -4,7 +4,13 @@
 import json
 from collections.abc import Callable
 
-from ..egress import ConnectionPool, EgressError, ResponseHead, render_request
+from ..egress import (
+    ConnectionPool,
+    EgressError,
+    MalformedResponseError,
+    ResponseHead,
+    render_request,
+)
 from ..gateway import EngineReport, ReserveResult
 from ..kernel import Event, log_event
 
@@ -86,6 +92,9 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await self._exchange(address, request)
+        except MalformedResponseError as error:
+            log_event(Event.ENTRY_UNREADABLE, name=address, error=str(error))
+            return None
         except (EgressError, TimeoutError):
             return None
 
