Store stand-in: eras, restore from an older copy, late and lost answers

Nothing could play a store that comes back from a copy some seconds old. The stand-in now sends the era in all responses, gives offsets out again after `restore`, answers 410 to a read from an offset that it does not have, sends finished responses later, and carries out calls whose response is lost.

--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -18,13 +18,19 @@
     """A stand-in for the platform's store, with its keyed topics.
 
     Attributes:
+        era: The number in the `Store-Era` header of all responses; None to send no such header.
         fault_for_call: If set, called with the path of each call. It returns a status to respond
-            with, "hang" to leave the call without a response, or None to serve it.
+            with, "hang" to leave the call without a response, "lose" to carry it out and close the
+            connection without a response, or None to serve it.
+        delay_for_call: If set, called with the path of each call. It returns the seconds by which
+            the finished response is sent later.
         calls: The paths of all calls.
     """
 
     def __init__(self):
+        self.era = 1
         self.fault_for_call = None
+        self.delay_for_call = None
         self.calls = []
         self._records = defaultdict(list)
         self._first = defaultdict(int)
@@ -46,6 +52,18 @@
         """Drop all records except the newest of each key."""
         self._first[topic] = len(self._records[topic])
 
+    def copy(self):
+        """Return a copy of all records, for `restore`."""
+        return {topic: list(records) for topic, records in self._records.items()}
+
+    def restore(self, copy):
+        """Come back from an earlier copy: later records are gone, and their offsets are free."""
+        self._records = defaultdict(list, {topic: list(rows) for topic, rows in copy.items()})
+        if self.era is not None:
+            self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def newest(self, topic):
         newest_by_key = {}
         for offset, (key, value) in enumerate(self._records[topic]):
@@ -61,8 +79,8 @@
         fault = self.fault_for_call(parts.path) if self.fault_for_call else None
         if fault == "hang":
             await asyncio.sleep(3600)
-        if fault is not None:
-            await responder.answer(Response(status=fault))
+        if fault not in (None, "lose"):
+            await self._respond(responder, fault, b"", self.era)
             return
         handlers = {
             "/log-read": self._read,
@@ -70,15 +88,26 @@
             "/log-append": self._append,
         }
         status, body = await handlers[parts.path](query, request.body)
-        await responder.answer(Response(status=status, body=body))
+        if fault == "lose":
+            responder.abort()
+            return
+        era = self.era
+        if self.delay_for_call:
+            await asyncio.sleep(self.delay_for_call(parts.path))
+        await self._respond(responder, status, body, era)
+
+    async def _respond(self, responder, status, body, era):
+        headers = () if era is None else ((b"Store-Era", b"%d" % era),)
+        await responder.answer(Response(status=status, headers=headers, body=body))
+
+    def _lacks(self, topic, start):
+        return not self._first[topic] <= start <= len(self._records[topic])
 
     async def _read(self, query, _):
         topic, start = query["topic"], int(query["from"])
-        if start < self._first[topic]:
-            return 410, json.dumps({"first": self._first[topic]}).encode()
         wait_s = min(MAX_WAIT_S, int(query.get("wait_ms", 0)) / 1000)
         deadline_s = asyncio.get_running_loop().time() + wait_s
-        while len(self._records[topic]) <= start:
+        while len(self._records[topic]) == start:
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if remaining_s <= 0:
                 break
@@ -86,6 +115,8 @@
                 await asyncio.wait_for(self._changed.wait(), remaining_s)
             except TimeoutError:
                 break
+        if self._lacks(topic, start):
+            return 410, json.dumps({"first": self._first[topic]}).encode()
         records = self._records[topic][start:]
         body = len(self._records[topic]).to_bytes(8, "big") + self._first[topic].to_bytes(8, "big")
         for key, value in records:
