--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
-from typing import Protocol
 
 from ..fleet import (
     HistoryLostError,
@@ -16,61 +15,18 @@
 )
 from ..kernel import Event, log_event
 from ._known_records import CatchUpPage, KnownRecords
+from ._read_health import ReadHealth
 from ._store_era import StoreEra
+from ._topic_sink import TopicSink
 
-FIRST_RETRY_DELAY_S = 0.2
-MAX_RETRY_DELAY_S = 1.0
-RETRY_JITTER = 0.3
 READ_JITTER = 0.5
 # After this many reads in a row with new records, only the newest record of each key is read, since
 # the records between would delay it.
 MAX_READS_OF_ALL_RECORDS = 2
-# Without a successful read by any entry for this time, the store counts as having had an outage.
-OUTAGE_S = 1.5
-# Registrations of targets that expired during an outage are renewed within about two seconds of
-# its end.
-REMOVAL_GRACE_S = 2.0
 # In a new era all entries read all topics again; the reads are spread over this time.
 ERA_READ_JITTER_S = 0.4
 
 
-class TopicSink(Protocol):
-    """Applies the records of a topic."""
-
-    def apply(self, record: KeyedRecord, *, grace_s: float) -> None:
-        """Apply one record.
-
-        Args:
-            record: The record.
-            grace_s: Time for which a removal may still be undone by a new record of the same key;
-                see `REMOVAL_GRACE_S`.
-        """
-
-    def replace(self, page: KeyedPage, *, grace_s: float) -> None:
-        """Apply a page with the newest record of each key; keys not in it are removed.
-
-        Args:
-            page: The page.
-            grace_s: As for `apply`.
-        """
-
-    def merge(self, page: KeyedPage, *, before: Mapping[str, KeyedRecord]) -> None:
-        """Apply the newest record of each key of a store that came back from an older copy.
-
-        Records of earlier eras that are newer than those of the copy stay in force.
-
-        Args:
-            page: The page, the first of its era.
-            before: The newest record of each key in the era before.
-        """
-
-    def held(self) -> tuple[KeyedRecord, ...]:
-        """Return the records of earlier eras that are in force against the store's own."""
-
-    def apply_held(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Apply records that a peer holds against those of the store."""
-
-
 class TopicFollower:
     """Reads new records of one topic, unless a peer has just read and sent them.
 
@@ -114,7 +70,7 @@
         self._reads_with_records = 0
         self._on_read = on_read
         self._on_change = on_change
-        self._on_store_recovered = on_store_recovered
+        self._health = ReadHealth(topic=topic, on_recovered=on_store_recovered)
         self._loop = asyncio.get_running_loop()
         self.created_s = self._loop.time()
         self.era = StoreEra()
@@ -122,10 +78,6 @@
         self._known = KnownRecords()
         self._read_due_s = float("inf")
         self._awaited = StorePosition()
-        self._last_read_s = float("-inf")
-        self._has_read = False
-        self._failures = 0
-        self._last_recovery_s = float("-inf")
         self._wake_up = asyncio.Event()
         self._read_timeout: asyncio.Timeout | None = None
 
@@ -152,12 +104,12 @@
             try:
                 await self._read_until_renewed()
             except StoreUnavailableError as error:
-                self._record_failure(error)
-                await self._sleep(self._retry_delay_s())
+                self._health.record_failure(error)
+                await self._sleep(self._health.retry_delay_s())
 
     def read_soon(self) -> None:
         """Read the topic now, as the known records may be out of date."""
-        self._last_read_s = float("-inf")
+        self._health.last_read_s = float("-inf")
         self.renew_poll()
 
     def renew_poll(self) -> None:
@@ -243,7 +195,7 @@
         self.era.observe(page.era)
         if page.era != position.era or from_offset > position.offset:
             return
-        self._record_read()
+        self._health.record_read()
         self._apply(page)
 
     async def _wait_until_due(self) -> None:
@@ -263,7 +215,7 @@
         while not self.is_of_earlier_era:
             if self.position is not None and self.position >= self._awaited:
                 self._read_due_s = float("inf")
-            due_s = min(self._last_read_s + interval_s, self._read_due_s)
+            due_s = min(self._health.last_read_s + interval_s, self._read_due_s)
             remaining_s = due_s - self._loop.time()
             if remaining_s <= 0:
                 return
@@ -300,8 +252,8 @@
             return
         if not self._may_use(page.era, position):
             return
-        self._record_read()
-        self._record_success()
+        self._health.record_read()
+        self._health.record_success(next_offset=self.next_offset)
         self._count_read(has_records=bool(page.records))
         self._apply(page)
         self._on_read(self._topic, position.offset, page)
@@ -341,8 +293,8 @@
         if lost_from is not None and page.end <= lost_from:
             raise StoreUnavailableError(f"no records from offset {lost_from.offset} on")
         self.era.observe(page.era)
-        self._record_read()
-        self._record_success()
+        self._health.record_read()
+        self._health.record_success(next_offset=self.next_offset)
         position = self.position
         if position is not None and page.era > position.era:
             self._count_read(has_records=False)
@@ -358,7 +310,7 @@
 
     def _apply(self, page: KeyedPage) -> None:
         """Apply the newest record of each key; those before it have no effect any more."""
-        grace_s = self._grace_s()
+        grace_s = self._health.removal_grace_s
         added = self._known.add(page)
         for record in added:
             self._sink.apply(record, grace_s=grace_s)
@@ -367,7 +319,7 @@
 
     def _replace(self, page: KeyedPage) -> None:
         self._known.replace(page)
-        self._sink.replace(page, grace_s=self._grace_s())
+        self._sink.replace(page, grace_s=self._health.removal_grace_s)
         self._on_change()
 
     def _merge(self, page: KeyedPage) -> None:
@@ -386,41 +338,6 @@
         )
         self._on_change()
 
-    def _record_read(self) -> None:
-        now_s = self._loop.time()
-        # An entry that started in an outage may know the records from peers already.
-        had_outage = now_s - self._last_read_s > OUTAGE_S if self._has_read else self._failures > 0
-        self._has_read = True
-        self._last_read_s = now_s
-        if had_outage:
-            self._last_recovery_s = now_s
-            self._on_store_recovered()
-
-    def _grace_s(self) -> float:
-        """Return the time for which a key that is removed now may still be written again."""
-        return max(0.0, self._last_recovery_s + REMOVAL_GRACE_S - self._loop.time())
-
-    def _retry_delay_s(self) -> float:
-        delay_s: float = FIRST_RETRY_DELAY_S * 2.0 ** (self._failures - 1)
-        jitter = random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
-        return min(MAX_RETRY_DELAY_S, delay_s) * jitter
-
-    def _record_failure(self, error: StoreUnavailableError) -> None:
-        self._failures += 1
-        if self._failures == 1:
-            log_event(Event.LOG_READ_FAILED, topic=self._topic.value, error=str(error))
-
-    def _record_success(self) -> None:
-        if self._failures:
-            log_event(
-                Event.LOG_READ_AGAIN,
-                topic=self._topic.value,
-                offset=self.next_offset,
-                failures=self._failures,
-            )
-            self._failures = 0
-            self._on_store_recovered()
-
 
 def find_follower(
     followers: Mapping[Topic, TopicFollower], topic_name: str
--- a/src/cicadatiller/gateway/_store_era.py
+++ b/src/cicadatiller/gateway/_store_era.py
@@ -23,14 +23,14 @@
         self._listeners.append(on_rise)
 
     def observe(self, era: int) -> None:
-        """Record an era; one that is not the newest has no effect."""
+        """Record an era; one that is not newer than all before has no effect."""
         before = self.newest
         if before is not None and era <= before:
             return
         self.newest = era
-        if before is None:
-            return
-        log_event(Event.STORE_ERA_CHANGED, era=era, before=before)
+        # The first one that is stated need not be that of a copy.
+        if before:
+            log_event(Event.STORE_ERA_CHANGED, era=era, before=before)
         for on_rise in self._listeners:
             on_rise()
 
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -10,7 +10,8 @@
     StoreUnavailableError,
     Topic,
 )
-from cicadatiller.gateway._followers import OUTAGE_S, REMOVAL_GRACE_S, TopicFollower
+from cicadatiller.gateway import TopicFollower
+from cicadatiller.gateway._read_health import OUTAGE_S, REMOVAL_GRACE_S
 
 from .support import PausedCase
 
