Targets: an entry that starts from its peers alone believes them which targets left

It took the first records of a peer for ones written since the restore, and went on using a target that its peers knew to have left.

--- a/src/cicadatiller/gateway/_target_sink.py
+++ b/src/cicadatiller/gateway/_target_sink.py
@@ -61,7 +61,8 @@
         self._departures: dict[str, TargetRecord] = {}
         self._held: dict[str, HeldTarget] = {}
         self._hold_until_s = float("-inf")
-        # Records before this offset were in the first page of the era; None before that.
+        # Records before this offset were in the first page of the era; None if it is unknown, as
+        # the first records came from peers.
         self._first_page_end: int | None = None
         self._written_in_era: set[str] = set()
         self._unlisted: set[str] = set()
@@ -201,7 +202,7 @@
         return self._departures.get(instance_id) if is_holding else None
 
     def _was_in_first_page(self, record: KeyedRecord) -> bool:
-        return self._first_page_end is not None and record.offset < self._first_page_end
+        return self._first_page_end is None or record.offset < self._first_page_end
 
     def _decode(self, record: KeyedRecord) -> TargetRecord | None:
         try:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -435,6 +435,26 @@
         self.assertEqual(used, {"t-3"})
 
 
+    def test_entry_that_starts_in_the_gap_from_peers_alone_does_not_use_targets_that_left(self):
+        async def scenario(fleet):
+            copy = fleet.store.copy()
+            fleet.store.write("keyed.servers", "t-2", None)
+            await asyncio.sleep(1.0)
+            fleet.store.restore(copy)
+            await asyncio.sleep(1.0)
+            await fleet.restart(1, is_refused=True)
+            await asyncio.sleep(2.0)
+            used = await self.used_targets(fleet, entry=1)
+            fleet.logs[1].is_refused = False
+            await asyncio.sleep(2.0)
+            fleet.store.drop_history("keyed.servers")
+            self.grow(fleet, "keyed.servers", 1)
+            await asyncio.sleep(2.0)
+            return used | await self.used_targets(fleet, entry=1)
+
+        self.assertEqual(self.run_scenario(scenario, entries=2), {"t-1"})
+
+
 class SidesTest(EraCase):
     """Entries see the new era at different times."""
 
