Entries: a full read in the era of a copy keeps what is held against the copy

A member sink that read all records again after the merge took the copy's records for new ones: entries within their grace were forgotten, and removed ones came back before their removal was written again. The test failed before.

--- a/src/cicadatiller/gateway/_members.py
+++ b/src/cicadatiller/gateway/_members.py
@@ -42,6 +42,9 @@
         self.addresses: dict[str, str] = {}
         self.listed: dict[str, str] = {}
         self._removed: set[str] = set()
+        # The known entries that the first page of the era lacked.
+        self._unlisted: set[str] = set()
+        self._first_page_end = 0
         self._on_change = on_change
 
     def is_listed_again(self, name: str) -> bool:
@@ -54,11 +57,18 @@
             self._on_change()
 
     def replace(self, page: KeyedPage, *, grace_s: float = 0.0) -> None:
-        """Apply a page with the newest record of each key; entries not in it are removed."""
+        """Apply a page with the newest record of each key; entries not in it are removed.
+
+        What `merge` kept stays.
+        """
         before = self.addresses
         self.listed = _decode_addresses(page)
-        self._removed = (self._removed | before.keys()) - self.listed.keys()
-        self.addresses = dict(self.listed)
+        self._unlisted -= self.listed.keys()
+        written = {record.key for record in page.records if record.offset >= self._first_page_end}
+        gone = before.keys() - self.listed.keys() - self._unlisted
+        self._removed = (self._removed | gone) - (self.listed.keys() & written)
+        present = {n: a for n, a in self.listed.items() if n not in self._removed}
+        self.addresses = present | {n: a for n, a in before.items() if n in self._unlisted}
         if self.addresses != before:
             self._on_change()
 
@@ -69,10 +79,12 @@
         `UNLISTED_GRACE_S`, as its records may be older than what is known.
         """
         self.listed = _decode_addresses(page)
+        self._first_page_end = page.next_offset
         known = dict(self.addresses)
         present = {n: a for n, a in self.listed.items() if n not in self._removed}
         self.addresses = present | known
-        for name in known.keys() - self.listed.keys():
+        self._unlisted = known.keys() - self.listed.keys()
+        for name in self._unlisted:
             asyncio.get_running_loop().call_later(UNLISTED_GRACE_S, self._forget_unlisted, name)
         self._on_change()
 
@@ -84,11 +96,13 @@
         """Ignore what peers hold, see `held`."""
 
     def _forget_unlisted(self, name: str) -> None:
-        if name not in self.listed and self.addresses.pop(name, None) is not None:
+        if name in self._unlisted and self.addresses.pop(name, None) is not None:
+            self._unlisted.discard(name)
             self._on_change()
 
     def _apply(self, record: KeyedRecord) -> bool:
         address = None if record.value is None else _decode_address(record.key, record.value)
+        self._unlisted.discard(record.key)
         if address is None:
             self.listed.pop(record.key, None)
             self._removed.add(record.key)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -5,12 +5,16 @@
 from dataclasses import replace
 
 from cicadatiller.channels import decode, encode
+from cicadatiller.fleet import KeyedPage, KeyedRecord
 from cicadatiller.gateway._followers import ERA_READ_JITTER_S
+from cicadatiller.gateway._members import UNLISTED_GRACE_S as ENTRY_GRACE_S
+from cicadatiller.gateway._members import MemberSink
 from cicadatiller.gateway._target_sink import DEPARTURE_HOLD_S, UNLISTED_GRACE_S
 from cicadatiller.mesh import TopicPage, TopicRequest, Update, unpack_records
 from cicadatiller.mesh._messages import CompactUpdate
 
 from .support.gateways import GatewayCase, configuration
+from .support.paused_loop import PausedCase
 
 # The time within which all entries have read the store's newest records after it came back.
 REREAD_S = 2.5
@@ -270,6 +274,34 @@
         self.assertEqual(later, ["front-0", "front-1", "front-2"])
 
 
+class MemberSinkTest(PausedCase):
+    """Full reads in the era of a copy show the copy's records, too."""
+
+    def test_full_reads_do_not_end_what_is_kept_against_the_copy(self):
+        def page(names, end):
+            records = tuple(
+                KeyedRecord(offset=offset, key=name, value=b'{"peer_address": "h:1"}')
+                for name, offset in names.items()
+            )
+            return KeyedPage(records=records, next_offset=end, era=2)
+
+        async def scenario():
+            sink = MemberSink(on_change=lambda: None)
+            sink.replace(page({"a": 0, "gone": 1, "late": 2}, 3))
+            sink.apply(KeyedRecord(offset=3, key="gone", value=None))
+            sink.merge(page({"a": 0, "gone": 1}, 2), before={})
+            sink.replace(page({"a": 2, "gone": 1}, 3))
+            kept = set(sink.addresses), sink.is_listed_again("gone")
+            await asyncio.sleep(ENTRY_GRACE_S + 1.0)
+            sink.replace(page({"a": 2, "gone": 3}, 4))
+            return kept, set(sink.addresses), sink.is_listed_again("gone")
+
+        kept, later, is_lost = self.run_paused(scenario())
+        self.assertEqual(kept, ({"a", "late"}, True))
+        self.assertEqual(later, {"a", "gone"})
+        self.assertFalse(is_lost)
+
+
 class TargetsTest(EraCase):
     """The copy lists targets as they were some seconds ago."""
 
@@ -434,7 +466,6 @@
         used = self.run_scenario(scenario, entries=2, targets=("pool",) * 3)
         self.assertEqual(used, {"t-3"})
 
-
     def test_entry_that_starts_in_the_gap_from_peers_alone_does_not_use_targets_that_left(self):
         async def scenario(fleet):
             copy = fleet.store.copy()
