Tests of the store's era: wait until entries know each other before the restore

In 7 of 60 starts of four entries one knew only itself after 1.5 s, as entries read back their registrations after up to 2 s; a test of what stays known then failed for a cause from before the restore. Checks are unchanged.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -199,7 +199,7 @@
             peers = [len(gateway.known_entries) for gateway in fleet.gateways]
             return self.appends(fleet) - before, self.listed_entries(fleet), peers
 
-        appends, listed, peers = self.run_scenario(scenario, entries=4)
+        appends, listed, peers = self.run_scenario(scenario, entries=4, settle_s=4.0)
         self.assertEqual(listed, [f"front-{number}" for number in range(4)])
         self.assertEqual(appends, 3)
         self.assertEqual(peers, [4] * 4)
@@ -215,7 +215,7 @@
                 fewest = min(fewest, *(len(gateway.known_entries) for gateway in fleet.gateways))
             return fewest
 
-        self.assertEqual(self.run_scenario(scenario, entries=4), 4)
+        self.assertEqual(self.run_scenario(scenario, entries=4, settle_s=4.0), 4)
 
     def test_entry_that_is_gone_leaves_after_a_grace_if_the_copy_lacks_it(self):
         async def scenario(fleet):
@@ -227,7 +227,7 @@
             await asyncio.sleep(15.0)
             return [len(gateway.known_entries) for gateway in fleet.gateways[:2]]
 
-        self.assertEqual(self.run_scenario(scenario, entries=3), [2, 2])
+        self.assertEqual(self.run_scenario(scenario, entries=3, settle_s=4.0), [2, 2])
 
     def test_removal_of_a_gone_entry_is_written_again_once(self):
         async def scenario(fleet):
@@ -243,7 +243,7 @@
                 known = max(known, *(len(g.known_entries) for g in fleet.gateways[:2]))
             return removed, self.listed_entries(fleet), self.appends(fleet) - before, known
 
-        removed, listed, appends, known = self.run_scenario(scenario, entries=3)
+        removed, listed, appends, known = self.run_scenario(scenario, entries=3, settle_s=4.0)
         self.assertEqual(removed, ["front-0", "front-1"])
         self.assertEqual(listed, ["front-0", "front-1"])
         self.assertEqual(appends, 1)
@@ -269,7 +269,7 @@
             await asyncio.sleep(6.0)
             return listed, self.listed_entries(fleet)
 
-        listed, later = self.run_scenario(scenario, entries=2)
+        listed, later = self.run_scenario(scenario, entries=2, settle_s=4.0)
         self.assertIn("front-2", listed)
         self.assertEqual(later, ["front-0", "front-1", "front-2"])
 
