--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -4,10 +4,12 @@
 from ._breaker import Breaker, HasBreaker, eject_failing, eject_slow, usable_targets
 from ._directory import Target, TargetDirectory
 from ._store import (
+    UNSTATED_ERA,
     HistoryLostError,
     KeyedLog,
     KeyedPage,
     KeyedRecord,
+    StorePosition,
     StoreUnavailableError,
     Topic,
 )
@@ -17,12 +19,14 @@
 __all__ = [
     "SHARING_ENTRIES",
     "Availability",
+    "UNSTATED_ERA",
     "Breaker",
     "HasBreaker",
     "HistoryLostError",
     "KeyedLog",
     "KeyedPage",
     "KeyedRecord",
+    "StorePosition",
     "StoreUnavailableError",
     "Target",
     "TargetDirectory",
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -13,19 +13,24 @@
 import cbor2
 
 from ._messages import (
+    UNSTATED_ERA,
     RetryUse,
     StoreRecord,
     TargetFailure,
     TargetLeaving,
     TargetPace,
+    TopicEra,
     TopicUpdate,
     Update,
     WorkShare,
 )
 
-FIELD_COUNT = 10
-OFFSETS_INDEX = 8
-LEAVING_INDEX = 9
+FIELD_COUNT = 11
+OFFSETS_FIELD = 8
+ERAS_FIELD = 9
+LEAVING_FIELD = 10
+# The fields of a topic's row before the era, which older versions neither send nor read.
+TOPIC_FIELDS_WITHOUT_ERA = 4
 MS_PER_S = 1_000
 US_PER_S = 1_000_000
 PACE_UNITS = 100
@@ -56,6 +61,7 @@
         [[paced.target_id, round(paced.pace * PACE_UNITS)] for paced in update.paces],
         [[use.service, use.requests, use.retries] for use in update.retries],
         update.known_offsets,
+        _eras_field(update),
         [[leaving.target_id, leaving.started_ms] for leaving in update.leaving],
     ]
     while fields[-1] in (None, []):
@@ -93,8 +99,9 @@
                 RetryUse(service=row[0], requests=row[1], retries=row[2]) for row in padded[7]
             ),
             known_offsets=_to_offsets(fields),
+            known_eras=_to_eras(padded[ERAS_FIELD], padded[OFFSETS_FIELD]),
             leaving=tuple(
-                TargetLeaving(target_id=row[0], started_ms=row[1]) for row in padded[LEAVING_INDEX]
+                TargetLeaving(target_id=row[0], started_ms=row[1]) for row in padded[LEAVING_FIELD]
             ),
         )
     except (TypeError, IndexError, KeyError) as error:
@@ -103,8 +110,8 @@
 
 def _to_offsets(fields: list[Any]) -> dict[str, int] | None:
     """Return the offsets; None if the update has none, which is not the same as no offset."""
-    has_offsets = len(fields) > OFFSETS_INDEX and fields[OFFSETS_INDEX] is not None
-    return dict(fields[OFFSETS_INDEX]) if has_offsets else None
+    has_offsets = len(fields) > OFFSETS_FIELD and fields[OFFSETS_FIELD] is not None
+    return dict(fields[OFFSETS_FIELD]) if has_offsets else None
 
 
 def pack_records(records: Iterable[StoreRecord]) -> bytes:
@@ -189,7 +196,8 @@
         records = pack_records(news.records)
     else:
         records = [_record_row(record) for record in news.records]
-    return [news.topic, news.next_offset, news.from_offset, records]
+    row = [news.topic, news.next_offset, news.from_offset, records]
+    return [*row, news.era] if news.era else row
 
 
 def _to_topic_update(row: list[Any]) -> TopicUpdate:
@@ -198,9 +206,32 @@
         next_offset=row[1],
         from_offset=row[2],
         records=_to_records(row[3]),
+        era=row[4] if len(row) > TOPIC_FIELDS_WITHOUT_ERA else UNSTATED_ERA,
     )
 
 
+def _eras_field(update: Update) -> int | list[list[Any]]:
+    """Return the eras as one number if all topics have the same, else as a row for each topic."""
+    if not update.known_eras:
+        return []
+    common = update.known_eras[0].era
+    if update.known_eras == _common_eras(common, update.known_offsets):
+        return common
+    return [[known.topic, known.era, known.held] for known in update.known_eras]
+
+
+def _to_eras(
+    field: int | list[list[Any]], known_offsets: Iterable[str] | None
+) -> tuple[TopicEra, ...]:
+    if isinstance(field, int):
+        return _common_eras(field, known_offsets)
+    return tuple(TopicEra(topic=row[0], era=row[1], held=row[2]) for row in field)
+
+
+def _common_eras(era: int, topics: Iterable[str] | None) -> tuple[TopicEra, ...]:
+    return tuple(TopicEra(topic=topic, era=era) for topic in topics or ())
+
+
 def _to_records(packed_or_rows: bytes | list[list[Any]]) -> tuple[StoreRecord, ...]:
     if isinstance(packed_or_rows, bytes):
         return unpack_records(packed_or_rows)
