Forget when a peer was last heard also if another peer has removed its registration

Cause: a link that gives up looked its peer's name up among the selected ones. If another peer had removed the registration a moment before, the name was gone, and the time since the peer was heard was kept for good. Why this works: the name is kept as long as the link.

--- a/src/cicadatiller/mesh/_mesh.py
+++ b/src/cicadatiller/mesh/_mesh.py
@@ -83,6 +83,8 @@
         self._links: dict[str, OutboundLink] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._selected: dict[str, str] = {}
+        # The names of the peers at the other end of links, also of those no longer selected.
+        self._peer_names: dict[str, str] = {}
         # When links to peers that are not selected are closed, by address.
         self._closing_due_s: dict[str, float] = {}
         self._inbound: dict[str, Channel] = {}
@@ -130,6 +132,7 @@
             for name, address in addresses.items()
             if address != self._greeting.address
         }
+        self._peer_names |= self._selected
         for address in self._selected:
             self._closing_due_s.pop(address, None)
             self._open_link(address)
@@ -173,13 +176,14 @@
         self._link_tasks[address] = self._tasks.start(self._run(link), name=f"link to {address}")
 
     async def _run(self, link: OutboundLink) -> None:
+        name = None
         try:
             await link.run()
         finally:
             if self._links.get(link.address) is link:
                 del self._links[link.address]
                 del self._link_tasks[link.address]
-        name = self._selected.get(link.address)
+                name = self._peer_names.pop(link.address, None)
         if name is not None:
             self._listener.peer_given_up(name)
 
