--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -8,7 +8,7 @@
 
 from ..channels import Transport, split_address
 from ..egress import ConnectionPool
-from ..fleet import KeyedLog, Target, TargetDirectory, TargetSubset, Topic
+from ..fleet import KeyedLog, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
 from ..mesh import COMPACT_PROTOCOL, Greeting
@@ -18,7 +18,6 @@
 from ._clock import ClockWatch, boot_clock_s
 from ._contention import Contention
 from ._exposition import Exposition
-from ._failure_response import UNAVAILABLE
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
 from ._handler import RequestHandler
@@ -26,7 +25,6 @@
 from ._metrics import GatewayMetrics
 from ._node import NodeSettings
 from ._orders import EngineClient
-from ._outcomes import AttemptOutcome, Delivery
 from ._peer_sync import PeerSync
 from ._prober import EngineProber
 from ._redialer import Redialer
@@ -38,7 +36,8 @@
 from ._slot_arbiter import SlotArbiter
 from ._status import StatusServer
 from ._store_era import share_era, store_gauges
-from ._target_notices import MISDIRECTED, TargetNotices
+from ._target_failures import TargetFailures
+from ._target_notices import TargetNotices
 from ._target_sink import TargetSink
 from ._tickets import ReservationManager
 from ._wire import WireCodec
@@ -129,6 +128,9 @@
         self.peer_sync = self._make_peer_sync(transport)
         self._membership = self._make_membership(log)
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
+        self._failures = TargetFailures(
+            directory=self._directory, pool=pool, listener=self.peer_sync
+        )
         self._notices = self._make_notices(codec)
         orders.listen(self._notices.record_head_at)
         self._prober = self._make_prober(orders)
@@ -343,7 +345,7 @@
             is_engine=self._is_engine,
             users=self._connected_users,
             on_pace=self._notices.record_pace,
-            on_unresponsive=self._record_unresponsive,
+            on_unresponsive=self._failures.record_unresponsive,
         )
 
     def _make_scheduler(self) -> Scheduler:
@@ -384,7 +386,7 @@
             tickets=self._reservations,
             budget=self._budget,
             metrics=self._metrics,
-            on_failure=self._record_target_failure,
+            on_failure=self._failures.record_attempt,
             on_head=self._notices.record_head,
             is_alive=self._prober.is_alive,
         )
@@ -417,42 +419,6 @@
     def _remove_member(self, name: str) -> None:
         self._tasks.start(self._membership.remove(name), name=f"remove {name}")
 
-    def _record_target_failure(self, target: Target, outcome: AttemptOutcome) -> None:
-        """Update the circuit breaker of a target after a failed attempt, and report it to peers.
-
-        A failure caused by a helper counts against the helper. Failed reservations and refusals
-        do not count against the target, except for status 421, which means that another instance
-        is at its address. Neither does a 503 by which it asked this entry alone to wait.
-        """
-        now_s = self._loop.time()
-        if outcome.blamed:
-            self._record_helper_failure(outcome.blamed, now_s)
-            return
-        if outcome.reservation_failed:
-            return
-        is_refused = outcome.delivery is Delivery.REFUSED and outcome.status != MISDIRECTED
-        if is_refused or (outcome.status == UNAVAILABLE and target.availability.is_quiet(now_s)):
-            return
-        if outcome.is_silent and target.breaker.is_unreachable:
-            # The liveness check has opened the breaker, for all requests of the target at once.
-            return
-        unreachable = outcome.delivery is Delivery.UNSENT
-        target.breaker.record_failure(now_s, unreachable=unreachable)
-        if outcome.delivery in (Delivery.UNSENT, Delivery.LOST):
-            self._pool.close_idle(target.record.address)
-        self.peer_sync.target_failed(target.instance_id, outcome.reason)
-
-    def _record_helper_failure(self, address: str, now_s: float) -> None:
-        helper = self._directory.find_at(address)
-        if helper is not None:
-            helper.record_help_failure(now_s)
-            self.peer_sync.target_failed(helper.instance_id, "it did not help", is_helper=True)
-
-    def _record_unresponsive(self, target: Target) -> None:
-        target.breaker.record_failure(self._loop.time(), unreachable=True)
-        self._pool.close_idle(target.record.address)
-        self.peer_sync.target_failed(target.instance_id, "it did not report")
-
     def _is_engine(self, name: str) -> bool:
         service = self._find_service(name)
         return service is not None and service.engine is not None
