--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -135,7 +135,10 @@
         orders.listen(self._notices.record_head_at)
         self._prober = self._make_prober(orders)
         self._scheduler = self._make_scheduler()
-        self._caller_server = IngressServer(handler=self._make_handler(codec).handle)
+        self._caller_server = IngressServer(
+            handler=self._make_handler(codec).handle,
+            max_connections=self._settings.max_caller_connections,
+        )
         self._status_server = StatusServer(
             is_ready=self._synced.is_set,
             exposition=Exposition(metrics=self._metrics, gauges=self._gauges, infos=self._infos),
--- a/src/cicadatiller/ingress/__init__.py
+++ b/src/cicadatiller/ingress/__init__.py
@@ -6,7 +6,7 @@
 from ._parser import BadRequestError, RequestParser
 from ._request import Header, Request, find_header
 from ._response import REASON_PHRASES, Response, render_response
-from ._server import IngressServer
+from ._server import MAX_CONNECTIONS, IngressServer
 
 __all__ = [
     "Response",
@@ -18,6 +18,7 @@
     "IngressLimits",
     "IngressServer",
     "LINE_OVERHEAD_BYTES",
+    "MAX_CONNECTIONS",
     "REASON_PHRASES",
     "Request",
     "RequestParser",
--- a/tests/test_requests_without_answer.py
+++ b/tests/test_requests_without_answer.py
@@ -3,6 +3,8 @@
 import asyncio
 import functools
 
+from cicadatiller.gateway import GatewaySettings
+
 from .support.gateways import ENGINE, GatewayCase, configuration, parse_reply, route
 
 SILENCE_S = 1.2
@@ -327,6 +329,24 @@
         self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True))
 
 
+class CallerConnectionsTest(GatewayCase):
+    def test_connections_above_the_bound_of_the_settings_are_closed_and_the_others_served(self):
+        async def scenario(fleet):
+            fleet.settings = GatewaySettings(max_caller_connections=1)
+            await fleet.add_gateway()
+            await asyncio.sleep(1.5)
+            await fleet.open_caller(1)
+            _, refused = await fleet.open_caller(1)
+            await asyncio.sleep(0.1)
+            return refused.ended.is_set(), (await fleet.ask()).status
+
+        self.assertEqual(self.run_scenario(scenario), (True, 200))
+
+    def test_bound_of_connections_must_be_above_zero(self):
+        with self.assertRaisesRegex(ValueError, "max_caller_connections"):
+            GatewaySettings(max_caller_connections=0)
+
+
 class IdleConnectionTest(GatewayCase):
     def test_kept_connection_stays_open_after_a_change_that_lengthens_the_idle_timeout(self):
         async def scenario(fleet):
