End the response to a HEAD request with its head

What callers saw: 504 at the deadline for a HEAD request whose response states a length. Cause: the response parser waited for the body that the head states. Test: HeadRequestTest, no answer before.

--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -80,6 +80,7 @@
         self._write_paused = False
         self._matches_request: Callable[[ResponseHead], bool] | None = None
         self._is_discarding = False
+        self._is_head_request = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its write buffer limit."""
@@ -161,9 +162,14 @@
             self.keep_alive_s = head.keep_alive_s
         # A late response to an earlier request is discarded with its body.
         self._is_discarding = self._matches_request is not None and not self._matches_request(head)
-        if not self._is_discarding:
-            self._heads.append(head)
-            self._notify()
+        if self._is_discarding:
+            return
+        self._heads.append(head)
+        self._notify()
+        if self._is_head_request:
+            # The parser expects the body that the head states, so it can't be used again.
+            self._declared_bytes = 0
+            self._complete(may_reuse=False)
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body and pause reading while the buffer is full."""
@@ -191,7 +197,11 @@
         self._complete(may_reuse=self._parser.should_keep_alive())
 
     def start(
-        self, request: bytes, *, matches_request: Callable[[ResponseHead], bool] | None = None
+        self,
+        request: bytes,
+        *,
+        matches_request: Callable[[ResponseHead], bool] | None = None,
+        is_head_request: bool = False,
     ) -> None:
         """Send a request.
 
@@ -199,6 +209,7 @@
             request: The request with its head and body.
             matches_request: Returns whether a response belongs to this request; other responses are
                 discarded. None to accept any response.
+            is_head_request: Whether the method is HEAD, so that the response ends with its head.
 
         Raises:
             EgressError: If the connection is closed; the error that closed it, if any.
@@ -207,6 +218,7 @@
             raise self._copy_error()
         self._is_in_exchange = True
         self._matches_request = matches_request
+        self._is_head_request = is_head_request
         self._is_complete = False
         self._may_reuse = False
         self._reads_until_close = False
--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -194,6 +194,7 @@
             connection.start(
                 self._encode(),
                 matches_request=lambda head: codec.answers_request(head, self._job.request_id),
+                is_head_request=self._job.request.method == b"HEAD",
             )
         except EgressError as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
--- a/src/cicadatiller/ingress/_response.py
+++ b/src/cicadatiller/ingress/_response.py
@@ -66,10 +66,11 @@
         answer: The response.
         close: Whether the connection closes after the response.
         is_head_request: Whether the request method was HEAD; the body is then omitted but its
-            length is stated.
+            length is stated, if there is one.
     """
     parts = [render_head(answer.status, answer.headers)]
-    if answer.status not in _STATUSES_WITHOUT_BODY:
+    has_length = bool(answer.body) or not is_head_request
+    if has_length and answer.status not in _STATUSES_WITHOUT_BODY:
         parts.append(b"Content-Length: %d" % len(answer.body))
     if close:
         parts.append(b"Connection: close")
--- a/tests/test_requests_without_answer.py
+++ b/tests/test_requests_without_answer.py
@@ -329,6 +329,20 @@
         self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True))
 
 
+class HeadRequestTest(GatewayCase):
+    def test_head_request_is_answered_though_its_response_states_a_length(self):
+        async def scenario(fleet):
+            transport, caller = await fleet.open_caller()
+            transport.write(fleet.render().replace(b"GET", b"HEAD", 1))
+            await asyncio.sleep(0.5)
+            return caller.data
+
+        head = self.run_scenario(scenario)
+        self.assertTrue(head.startswith(b"HTTP/1.1 200 "), head)
+        self.assertTrue(head.endswith(b"\r\n\r\n"))
+        self.assertNotIn(b"Content-Length: 0", head)
+
+
 class CallerConnectionsTest(GatewayCase):
     def test_connections_above_the_bound_of_the_settings_are_closed_and_the_others_served(self):
         async def scenario(fleet):
