A reload changes how often registrations and configurations are read

What was seen: after the bounds in the platform's settings were shortened and reloaded, an entry read registrations as seldom as before, so that a target's leaving could reach it later than the new bound. Cause: the intervals were computed at the start. Test: ReloadTest failed before.

--- a/src/cicadatiller/gateway/_followers.py
+++ b/src/cicadatiller/gateway/_followers.py
@@ -44,6 +44,8 @@
         on_store_recovered: Called when records can be read again after an outage of the store.
 
     Attributes:
+        interval_s: As the argument.
+        change_interval_s: As the argument.
         created_s: The loop time at which it was created.
         era: The store's newest era; the followers of an entry share it.
     """
@@ -65,8 +67,8 @@
         self._topic = topic
         self._sink = sink
         self._wait_s = wait_s
-        self._interval_s = interval_s
-        self._change_interval_s = change_interval_s
+        self.interval_s = interval_s
+        self.change_interval_s = change_interval_s
         self._reads_with_records = 0
         self._on_read = on_read
         self._on_change = on_change
@@ -207,11 +209,11 @@
             await asyncio.sleep(random.uniform(0.0, ERA_READ_JITTER_S))
 
     async def _wait_for_interval(self) -> None:
-        if self._interval_s == 0:
+        if self.interval_s == 0:
             if self._reads_with_records and not self.is_of_earlier_era:
-                await self._sleep(self._change_interval_s)
+                await self._sleep(self.change_interval_s)
             return
-        interval_s = self._interval_s * random.uniform(1.0, 1.0 + READ_JITTER)
+        interval_s = self.interval_s * random.uniform(1.0, 1.0 + READ_JITTER)
         while not self.is_of_earlier_era:
             if self.position is not None and self.position >= self._awaited:
                 self._read_due_s = float("inf")
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -194,6 +194,8 @@
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
         self._reservations.set_bounds(bounds)
+        self._followers[Topic.TARGETS].interval_s = self._target_read_interval_s()
+        self._followers[Topic.CONFIGURATION].change_interval_s = self._change_interval_s()
 
     async def close(self) -> None:
         """Stop at once and cut off open requests."""
@@ -275,7 +277,7 @@
                 topic=Topic.CONFIGURATION,
                 sink=self._configuration,
                 wait_s=CONFIGURATION_LONG_POLL_S,
-                change_interval_s=CHANGE_INTERVAL_SHARE * self._node.bounds.config_converge_s,
+                change_interval_s=self._change_interval_s(),
                 on_change=self._on_configuration_change,
             ),
             Topic.TARGETS: TopicFollower(
@@ -296,6 +298,9 @@
             ),
         }
 
+    def _change_interval_s(self) -> float:
+        return CHANGE_INTERVAL_SHARE * self._node.bounds.config_converge_s
+
     def _target_read_interval_s(self) -> float:
         chosen_s = self._settings.target_read_interval_s
         return chosen_s or TARGET_READ_SHARE * self._node.bounds.target_drain_s
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -1,6 +1,7 @@
 """Tests how an HTTP/1.1 entry follows the registrations and configurations in the store."""
 
 import asyncio
+from dataclasses import replace
 
 from .support.gateways import GatewayCase, configuration, route
 
@@ -178,3 +179,21 @@
             return await self.serving_targets(fleet)
 
         self.assertEqual(self.run_scenario(scenario), {"t-2"})
+
+
+class ReloadTest(GatewayCase):
+    def test_bounds_that_a_reload_shortens_shorten_the_reads_of_registrations(self):
+        async def scenario(fleet):
+            gateway = fleet.gateways[0]
+            bounds = replace(gateway._node.bounds, target_drain_s=0.4)
+            node = replace(gateway._node, bounds=bounds)
+            await asyncio.sleep(2.0)
+            before = len(fleet.store.calls)
+            await asyncio.sleep(4.0)
+            usual = len(fleet.store.calls) - before
+            gateway.apply_node_settings(node, gateway.settings_revision)
+            await asyncio.sleep(4.0)
+            return usual, len(fleet.store.calls) - before - usual
+
+        usual, shortened = self.run_scenario(scenario)
+        self.assertGreater(shortened, 2 * usual)
