--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -65,8 +65,8 @@
 class Attempt:
     """One attempt of a request at the targets of a grant.
 
-    An attempt whose target sends nothing may be kept open and read further: a target that is silent
-    for a moment still answers. Whoever makes an attempt calls `close` once, however it ends.
+    An attempt whose target is unresponsive may be kept open and read further, as the target may only
+    have paused. Whoever makes an attempt calls `close` once, however it ends.
 
     Args:
         services: What the attempts of all requests share.
@@ -110,7 +110,7 @@
     async def run(self) -> AttemptOutcome:
         """Send the request and forward the response.
 
-        If the request may still be sent to another target, the attempt ends as silent after a time
+        If the request may still be sent to another target, the attempt ends as unresponsive after a time
         without data; otherwise it lasts until the response or the connection ends.
         """
         try:
@@ -125,7 +125,7 @@
         return await self._exchange(self._connection)
 
     async def has_data_within(self, timeout_s: float) -> bool:
-        """Wait for data from a silent target; return whether there is any."""
+        """Wait for data from an unresponsive target; return whether there is any."""
         assert self._connection is not None
         try:
             async with asyncio.timeout(timeout_s):
@@ -134,7 +134,7 @@
             return False
 
     async def read_on(self) -> AttemptOutcome:
-        """Go on with the response of a target that was silent."""
+        """Go on with the response of a target that was unresponsive."""
         assert self._connection is not None
         return await self._read_response(self._connection)
 
@@ -148,7 +148,7 @@
 
     @property
     def _has_timeouts(self) -> bool:
-        """Return whether the attempt may end as silent, as another target may get the request."""
+        """Return whether the attempt may end as unresponsive, as another target may get the request."""
         route = self._job.route
         return route.is_idempotent and len(self._progress.sent_to) < route.max_attempts
 
@@ -209,7 +209,7 @@
                 self._services.on_head(self.grant.host, self._head)
             return await self._read_rest(connection, self._head)
         except TargetUnresponsiveError as error:
-            return AttemptOutcome(delivery=Delivery.LOST, reason=str(error), is_silent=True)
+            return AttemptOutcome(delivery=Delivery.LOST, reason=str(error), is_unresponsive=True)
         except (EgressError, EventTooLongError) as error:
             return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
 
--- a/src/cicadatiller/gateway/_outcomes.py
+++ b/src/cicadatiller/gateway/_outcomes.py
@@ -52,7 +52,7 @@
         answer: The target's response if it is a server error.
         blamed: The address of the helper at fault, if the target refused because of a helper.
         reservation_failed: Whether the attempt failed only because memory could not be reserved.
-        is_silent: Whether the target only sent no data in time; its response may still arrive.
+        is_unresponsive: Whether the target only sent no data in time; its response may still arrive.
     """
 
     delivery: Delivery
@@ -61,7 +61,7 @@
     answer: Response | None = None
     blamed: str = ""
     reservation_failed: bool = False
-    is_silent: bool = False
+    is_unresponsive: bool = False
 
 
 def choose_next_step(
--- a/src/cicadatiller/gateway/_request_forwarding.py
+++ b/src/cicadatiller/gateway/_request_forwarding.py
@@ -1,4 +1,4 @@
-"""Forwards one request by attempts that follow each other, or go on beside silent ones."""
+"""Forwards one request by successive attempts, and reads on those whose targets don't respond."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,9 +13,9 @@
 from ._progress import Progress
 from ._retry_budget import RetryBudget
 
-# A sound target may be silent for a second or so; after this time it is given up.
-SILENCE_LIMIT_S = 3.0
-# While a silent target is awaited, other targets are tried again in this interval.
+# A healthy target may pause; after this time without data its attempt is given up.
+UNRESPONSIVE_LIMIT_S = 3.0
+# While an unresponsive target is awaited, other targets are tried again in this interval.
 PLACE_AGAIN_S = 0.3
 
 
@@ -37,9 +37,9 @@
 class RequestForwarding:
     """Forwards one request and its response.
 
-    An attempt whose target is silent is kept open and read on while the request is sent to another
-    target: the silent one may be sound, and the other may fail. The first attempt that has output
-    for the caller ends the others.
+    An attempt whose target is unresponsive is kept open while the request is sent to another target:
+    the first target may recover, and the other one may fail. The first attempt that has output for
+    the caller ends the others.
 
     Args:
         services: What the forwarding of all requests shares.
@@ -66,9 +66,9 @@
         # None while an attempt that has output is read on.
         self._next_step: NextStep | None = NextStep.RETRY
         self._sent: Attempt | None = None
-        # The next attempt, and the tasks that read on silent ones.
+        # The next attempt, and the tasks that read on the unresponsive ones.
         self._sending: asyncio.Task[None] | None = None
-        self._silent: dict[asyncio.Task[AttemptOutcome | None], Attempt] = {}
+        self._unresponsive: dict[asyncio.Task[AttemptOutcome | None], Attempt] = {}
 
     async def run(self) -> AttemptOutcome:
         """Forward the request.
@@ -81,7 +81,7 @@
         """
         try:
             while True:
-                if self._is_beside_silent:
+                if self._has_tasks:
                     await self._wait_for_first()
                 else:
                     await self._send()
@@ -91,15 +91,16 @@
                 if self._next_step is NextStep.PASS_ON and last.answer is not None:
                     await self._responder.answer(last.answer)
                     return last
-                if self._next_step is not NextStep.RETRY and not self._is_beside_silent:
+                if self._next_step is not NextStep.RETRY and not self._has_tasks:
                     retry_after_s = self._scheduler.retry_after_s(self._job)
                     raise _error_for_step(self._next_step, last, retry_after_s)
         finally:
             self._close_all()
 
     @property
-    def _is_beside_silent(self) -> bool:
-        return bool(self._silent) or self._sending is not None
+    def _has_tasks(self) -> bool:
+        """Return whether attempts run in tasks of their own, as a target is unresponsive."""
+        return bool(self._unresponsive) or self._sending is not None
 
     async def _send(self, *, delay_s: float = 0.0) -> None:
         """Send the request to the next target and record the outcome.
@@ -140,13 +141,13 @@
         self._record_outcome(sent, outcome)
 
     async def _wait_for_first(self) -> None:
-        """Wait until a silent attempt or the one beside them ends; start the latter if due."""
+        """Wait until an unresponsive attempt or the next one ends; start the latter if due."""
         if self._sending is None and self._next_step is NextStep.RETRY:
             self._sending = self._loop.create_task(self._send())
         sending = () if self._sending is None else (self._sending,)
-        await asyncio.wait((*self._silent, *sending), return_when=asyncio.FIRST_COMPLETED)
-        for task in [task for task in self._silent if task.done()]:
-            self._record_silent(task)
+        await asyncio.wait((*self._unresponsive, *sending), return_when=asyncio.FIRST_COMPLETED)
+        for task in [task for task in self._unresponsive if task.done()]:
+            self._record_unresponsive(task)
         if self._sending is not None and self._sending.done():
             task, self._sending = self._sending, None
             self._check_sending(task)
@@ -155,15 +156,15 @@
         error = task.exception()
         if error is None:
             return
-        if not isinstance(error, FailureError) or not self._silent:
+        if not isinstance(error, FailureError) or not self._unresponsive:
             raise error
         log_event(
             Event.TARGET_AWAITED, request_id=self._job.request_id, reason=error.failure.message
         )
         self._sending = self._loop.create_task(self._send(delay_s=PLACE_AGAIN_S))
 
-    def _record_silent(self, task: asyncio.Task[AttemptOutcome | None]) -> None:
-        attempt = self._silent.pop(task, None)
+    def _record_unresponsive(self, task: asyncio.Task[AttemptOutcome | None]) -> None:
+        attempt = self._unresponsive.pop(task, None)
         if attempt is None:
             return
         outcome = task.result()
@@ -179,8 +180,8 @@
             attempt.grant.host.breaker.record_success(self._loop.time(), began_s=attempt.began_s)
         else:
             self._record_failed_attempt(attempt, outcome)
-        if outcome.is_silent:
-            self._silent[self._loop.create_task(_read_on(attempt))] = attempt
+        if outcome.is_unresponsive:
+            self._unresponsive[self._loop.create_task(_read_on(attempt))] = attempt
         else:
             attempt.close()
 
@@ -237,11 +238,11 @@
 
     def _close_others(self, attempt: Attempt) -> None:
         """Close all attempts but one, which has output for the caller."""
-        if not self._is_beside_silent:
+        if not self._has_tasks:
             return
-        for task, other in list(self._silent.items()):
+        for task, other in list(self._unresponsive.items()):
             if other is not attempt:
-                del self._silent[task]
+                del self._unresponsive[task]
                 _cancel(task, other)
         if self._sending is not None and self._sent is not attempt:
             self._next_step = None
@@ -254,16 +255,16 @@
 
     def _close_all(self) -> None:
         self._cancel_sending()
-        for task, attempt in self._silent.items():
+        for task, attempt in self._unresponsive.items():
             _cancel(task, attempt)
-        self._silent.clear()
+        self._unresponsive.clear()
         if self._sent is not None:
             self._sent.close()
 
 
 async def _read_on(attempt: Attempt) -> AttemptOutcome | None:
-    """Read on a silent attempt; return None if its target stays silent."""
-    if not await attempt.has_data_within(SILENCE_LIMIT_S):
+    """Read on an unresponsive attempt; return None if its target stays unresponsive."""
+    if not await attempt.has_data_within(UNRESPONSIVE_LIMIT_S):
         return None
     return await attempt.read_on()
 
--- a/src/cicadatiller/gateway/_target_failures.py
+++ b/src/cicadatiller/gateway/_target_failures.py
@@ -67,7 +67,7 @@
         if outcome.status == UNAVAILABLE and target.availability.is_quiet(now_s):
             return False
         # A failed liveness check has opened the breaker for all requests of the target at once.
-        return not (outcome.is_silent and target.breaker.is_unreachable)
+        return not (outcome.is_unresponsive and target.breaker.is_unreachable)
 
     def _record_helper(self, address: str, now_s: float) -> None:
         helper = self._directory.find_at(address)
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -31,8 +31,8 @@
     CHECKSUM_MISMATCH = (207, "error", "An answer did not match its checksum.")
     CALLER_REFUSED = (210, "info", "A caller's HTTP request was invalid, too large or too slow.")
     REQUEST_PLACED = (211, "info", "A request was assigned to its targets.")
-    RESPONSE_CUT = (213, "warning", "A caller's connection was closed within its response.")
     REQUEST_ABANDONED = (212, "info", "A caller disconnected before the end of its response.")
+    RESPONSE_CUT = (213, "warning", "A caller's connection was closed within its response.")
     CONNECTION_REFUSED = (214, "warning", "Too many connections of callers; one was closed unread.")
     PEER_CONNECTED = (300, "info", "A peer connection was established.")
     PEER_LOST = (301, "warning", "A peer connection was lost or timed out.")
@@ -46,7 +46,7 @@
     TARGET_AWAITED = (
         406,
         "info",
-        "No other target can take a request, so a silent one is awaited.",
+        "No other target can take a request, so an unresponsive one is awaited.",
     )
     TARGET_PACE = (405, "info", "A target's slowdown factor against its model changed.")
     TARGET_QUIET = (407, "info", "A target wants no requests from this entry for some time.")
