--- a/src/cicadatiller/gateway/_target_notices.py
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -8,7 +8,7 @@
 from ..fleet import Target, TargetDirectory
 from ..kernel import Event, log_event
 from ..placement import LoadBoard
-from ._wire import WireCodec
+from ._wire import TargetNotice, WireCodec
 
 MISDIRECTED = 421
 MIN_PACE_CHANGE = 0.1
@@ -60,15 +60,19 @@
             # Another run listens at the address, and speaks for itself.
             successor = self._directory.find_at(target.record.address, other_than=target)
             if successor is not None:
-                self._apply(successor, head)
+                self._apply(successor, self._codec.decode_notice(head))
             return
-        self._apply(target, head)
+        self._apply(target, self._codec.decode_notice(head))
 
     def record_head_at(self, address: str, head: ResponseHead) -> None:
         """Apply the response head to an order or a report, which are sent to an address."""
+        notice = self._codec.decode_notice(head)
+        if not notice.is_leaving and notice.quiet_s <= 0:
+            # Spares the search through all targets for each order.
+            return
         target = self._directory.find_at(address)
         if target is not None:
-            self._apply(target, head)
+            self._apply(target, notice)
 
     def record_pace(self, instance_id: str, pace: float) -> None:
         """Apply the pace in a target's report."""
@@ -94,8 +98,7 @@
             "targets_quiet": len(quiet),
         }
 
-    def _apply(self, target: Target, head: ResponseHead) -> None:
-        notice = self._codec.decode_notice(head)
+    def _apply(self, target: Target, notice: TargetNotice) -> None:
         if notice.is_leaving:
             self._record_leaving(target)
         if notice.quiet_s > 0:
