--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -208,10 +208,13 @@
                 self._head = await self._read_head(connection)
                 self._services.on_head(self.grant.host, self._head)
             return await self._read_rest(connection, self._head)
-        except TargetUnresponsiveError as error:
-            return AttemptOutcome(delivery=Delivery.LOST, reason=str(error), is_unresponsive=True)
         except (EgressError, EventTooLongError) as error:
-            return AttemptOutcome(delivery=Delivery.LOST, reason=str(error))
+            return AttemptOutcome(
+                delivery=Delivery.LOST,
+                reason=str(error),
+                is_unresponsive=isinstance(error, TargetUnresponsiveError),
+                has_head=self._head is not None,
+            )
 
     async def _read_rest(self, connection: EgressConnection, head: ResponseHead) -> AttemptOutcome:
         if self._services.codec.says_not_run(head):
--- a/src/cicadatiller/gateway/_outcomes.py
+++ b/src/cicadatiller/gateway/_outcomes.py
@@ -53,6 +53,7 @@
         blamed: The address of the helper at fault, if the target refused because of a helper.
         reservation_failed: Whether the attempt failed only because memory could not be reserved.
         is_unresponsive: Whether the target only sent no data in time; its response may still arrive.
+        has_head: Whether the head of a response had arrived when the request was lost.
     """
 
     delivery: Delivery
@@ -62,6 +63,7 @@
     blamed: str = ""
     reservation_failed: bool = False
     is_unresponsive: bool = False
+    has_head: bool = False
 
 
 def choose_next_step(
--- a/src/cicadatiller/gateway/_request_forwarding.py
+++ b/src/cicadatiller/gateway/_request_forwarding.py
@@ -203,6 +203,8 @@
             sends=progress.sends,
             max_targets=job.route.max_attempts,
             last_event_id=progress.last_event_id.decode("latin-1"),
+            has_head=outcome.has_head,
+            prompt_parts=job.fields.prompt_parts,
             next=self._next_step.value,
         )
 
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -20,6 +20,8 @@
         max_output_tokens: The maximum length of the output.
         output_estimate_tokens: The caller's estimate of the output length; 0 if not stated.
         last_event_id: The id of the last event that the caller received; empty if none.
+        prompt_parts: The ids of the parts of the prompt in order; requests share all but the last,
+            which belongs to the request or its session. Empty if not stated.
     """
 
     request_id: str
@@ -30,6 +32,7 @@
     max_output_tokens: int = 0
     output_estimate_tokens: int = 0
     last_event_id: bytes = b""
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -23,6 +23,8 @@
 # "PROMPT,OUTPUT": the prompt's length and the limit on the output, in tokens.
 TOKEN_COUNTS = b"token-counts"
 OUTPUT_ESTIMATE = b"length-hint"
+# "ID:TOKENS,...": the parts of the prompt.
+PROMPT_PARTS = b"prompt-prefix"
 # 0 (served first) to 9 (served last).
 URGENCY = b"request-urgency"
 # The targets that prefill a part of the prompt.
@@ -67,7 +69,7 @@
 )
 # These describe the request itself, so they are forwarded even if the caller lists them in its
 # Connection header.
-_ALWAYS_FORWARDED = frozenset({REQUEST_ID, TOKEN_COUNTS, b"host", b"model", b"prompt-prefix"})
+_ALWAYS_FORWARDED = frozenset({REQUEST_ID, TOKEN_COUNTS, b"host", b"model", PROMPT_PARTS})
 
 
 class PlatformHeaders:
@@ -87,6 +89,7 @@
             max_output_tokens=max_output_tokens,
             output_estimate_tokens=int(_parse_number(values.get(OUTPUT_ESTIMATE, b"")) or 0),
             last_event_id=values.get(LAST_EVENT_ID, b""),
+            prompt_parts=_parse_prompt_parts(values.get(PROMPT_PARTS, b"")),
         )
 
     def encode_request(self, request: Request, fields: TargetFields) -> bytes:
@@ -182,6 +185,16 @@
     return int(_parse_number(prompt) or 0), int(_parse_number(output) or 0)
 
 
+def _parse_prompt_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of the parts; none if one is malformed, as then the last one is unknown."""
+    if not value:
+        return ()
+    parts = [part.partition(b":")[0].strip().lower() for part in value.split(b",")]
+    if not all(part.isalnum() for part in parts):
+        return ()
+    return tuple(part.decode("latin-1") for part in parts)
+
+
 def _parse_number(value: bytes) -> float | None:
     try:
         number = float(value)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -298,6 +298,20 @@
         )
         self.assertEqual(fields, RequestFields(request_id="", host="n"))
 
+    def test_parts_of_a_prompt_are_decoded_or_none_of_them(self):
+        def parts(value):
+            return (
+                PlatformHeaders()
+                .decode_request(self.request((b"Prompt-Prefix", value)))
+                .prompt_parts
+            )
+
+        self.assertEqual(
+            parts(b"5c1e07a2:800, 91BD3F06:410,e4:250"), ("5c1e07a2", "91bd3f06", "e4")
+        )
+        for malformed in (b"", b",", b"5c:800,,e4:2", b"5c:800,:2", b"5c 91:3", b"\xff:1"):
+            self.assertEqual(parts(malformed), (), malformed)
+
     def test_request_headers_for_a_target(self):
         request = self.request((b"Authorization", b"Bearer k"), (b"Token-Counts", b"9,9"))
         fields = TargetFields(
