End a request that has no retry left after a target that could not be reached

Callers saw an entry that answered nobody: a request that one target had refused or lost, whose next target could not be reached, and for which the retry budget was used up by then, was placed again and again without a pause. The event loop stood still until the budget allowed a retry. The step after an attempt that was not sent is RETRY, whatever the budget says. The new test counted more than 20 placements before; it ends with 503 after one now. A request of which nothing ran is refused, another gets 502.

--- a/src/cicadatiller/gateway/_request_forwarding.py
+++ b/src/cicadatiller/gateway/_request_forwarding.py
@@ -222,6 +222,8 @@
         return self._step_without_retry(outcome)
 
     def _step_without_retry(self, outcome: AttemptOutcome) -> NextStep:
+        if outcome.delivery is Delivery.UNSENT:
+            return NextStep.GIVE_UP if self._progress.may_have_run else NextStep.REFUSE
         return choose_next_step(
             replace(outcome, blamed=""),
             is_idempotent=self._job.route.is_idempotent,
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -295,3 +295,32 @@
 
         reply = self.run_scenario(scenario, targets=("engines",))
         self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True))
+
+
+class UsedUpBudgetTest(GatewayCase):
+    def test_entry_does_not_spin_when_a_retry_is_not_sent_and_the_budget_is_used_up(self):
+        async def scenario(fleet):
+            gateway = fleet.gateways[0]
+            # One retry in all.
+            gateway._budget.set_limits(ratio=0.0, slack=2, window_s=10.0)
+            acquire, calls = gateway._scheduler.acquire, []
+
+            async def counted_acquire(*args, **options):
+                calls.append(None)
+                self.assertLess(len(calls), 20)
+                return await acquire(*args, **options)
+
+            gateway._scheduler.acquire = counted_acquire
+
+            def refuse_alone(target):
+                for other in fleet.targets.values():
+                    if other is not target:
+                        other.stop()
+                return 503
+
+            for target in fleet.targets.values():
+                target.script = lambda headers, number, target=target: refuse_alone(target)
+            return await fleet.ask("safe")
+
+        reply = self.run_scenario(scenario, targets=("pool",) * 4)
+        self.assertEqual(reply.status, 503)
