--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -161,6 +161,12 @@
     events: list = field(default_factory=list)
 
 
+def shared_parts(headers):
+    """Return the ids of a prompt's parts but the last."""
+    parts = headers.get("prompt-prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 class TargetStandin:
     """A target that serves calls and streams.
 
@@ -172,6 +178,9 @@
         retry_after: The Retry-After value of its responses with status 503; None for no header.
         report_status: The status of its reports.
         received: The requests of all kinds that reached it, as (loop time, path).
+        crashing_parts: The ids of the parts of prompts under which it crashes as it begins to write
+            an answer; the last part of a prompt never counts.
+        on_crash: Called with the target once it has crashed.
         script: If set, called with the headers and the number of each request. It returns what
             happens to the request: a status of 400 or more (refused as not run), "blame ADDRESS"
             (refused because of that helper), "unsure" (status 503 without a statement that it did
@@ -199,6 +208,8 @@
         self.retry_after = None
         self.report_status = 200
         self.received = []
+        self.crashing_parts = frozenset()
+        self.on_crash = lambda target: None
         self.script = None
         self.request_count = 0
         self.address = ""
@@ -306,6 +317,10 @@
         try:
             await asyncio.sleep(self.work_s)
             await self._is_speaking.wait()
+            if self.crashing_parts.intersection(shared_parts(headers)):
+                self.stop()
+                self.on_crash(self)
+                return
             response_headers = (
                 (b"Attempt-Id", headers["attempt-id"].encode()),
                 (b"Server-Seal", self.instance_id.encode()),
--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,116 @@
+"""Tests of prompts with a part under which each target crashes that begins to write an answer."""
+
+import asyncio
+import random
+
+from .support.gateways import GatewayCase, configuration, route
+from .support.wire import shared_parts
+
+CRASHING_PART = "bad0"
+TARGETS = ("engines",) * 12
+ENTRIES = 4
+# How long a crashed target is away, and how long the store still lists it.
+RESTART_S = 4.0
+LISTED_S = 2.0
+# What the users' rule allows after the fifth crash, from the time on in which entries hear of it.
+CRASHES_WITHOUT_LIMIT = 5
+CONTACT_S = 3.0
+MAX_LATER_SENDS = 3
+SOUND_INTERVAL_S = 0.06
+CRASHING_INTERVAL_S = 0.6
+ROUTES = [route("stream", max_attempts=2)]
+
+
+class CrashingPartCase(GatewayCase):
+    """Plays sound requests at all entries, and beside them some with a part that crashes targets."""
+
+    async def play(self, fleet, duration_s, *, seed=1, entries=ENTRIES, crashing_from_s=1.0):
+        """Send requests for a time; return the replies to the sound ones and to the others."""
+        self.rng = random.Random(seed)
+        self.crashed_s = []
+        for target in fleet.targets.values():
+            self.let_crash(fleet, target)
+        sound, crashing = [], []
+        begin_s = fleet.loop.time()
+        next_crashing_s = begin_s + crashing_from_s
+        while fleet.loop.time() < begin_s + duration_s:
+            entry = self.rng.randrange(entries)
+            sound.append(self.send(fleet, entry))
+            if fleet.loop.time() >= next_crashing_s:
+                next_crashing_s += CRASHING_INTERVAL_S
+                crashing.append(self.send(fleet, self.rng.randrange(entries), CRASHING_PART))
+            await asyncio.sleep(SOUND_INTERVAL_S)
+        return await asyncio.gather(*sound), await asyncio.gather(*crashing)
+
+    def send(self, fleet, entry, *parts):
+        subject = f"5b{self.rng.randrange(12):x}"
+        own = f"f{self.rng.getrandbits(60):x}"
+        named = ("5a", subject, *parts, own)
+        value = ",".join(f"{part}:250" for part in named).encode()
+        headers = [(b"Prompt-Prefix", value)]
+        return fleet.loop.create_task(
+            fleet.ask("stream", entry=entry, headers=headers, deadline_ms=9000)
+        )
+
+    def let_crash(self, fleet, target):
+        target.crashing_parts = frozenset({CRASHING_PART})
+        target.on_crash = lambda crashed: self.restart_later(fleet, crashed)
+
+    def restart_later(self, fleet, target):
+        self.crashed_s.append(fleet.loop.time())
+        fleet.loop.call_later(
+            LISTED_S, fleet.store.write, "keyed.servers", target.instance_id, None
+        )
+
+        async def restart():
+            await asyncio.sleep(RESTART_S)
+            self.let_crash(fleet, await fleet.add_target("engines"))
+
+        self.restarts = getattr(self, "restarts", set())
+        task = fleet.loop.create_task(restart())
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    def sends_after_limit(self, fleet):
+        """Return how often requests with the part were sent after the entries had to know it."""
+        if len(self.crashed_s) < CRASHES_WITHOUT_LIMIT:
+            return 0
+        bound_s = self.crashed_s[CRASHES_WITHOUT_LIMIT - 1] + CONTACT_S
+        return sum(
+            run.began_s > bound_s and CRASHING_PART in shared_parts(run.headers)
+            for run in fleet.runs
+        )
+
+    def assert_mostly_served(self, replies):
+        served = sum(reply.status == 200 and reply.whole for reply in replies)
+        self.assertGreater(served, len(replies) / 2)
+
+
+class CrashingPartTest(CrashingPartCase):
+    def test_requests_with_a_part_that_crashed_five_targets_are_not_sent_on(self):
+        async def scenario(fleet):
+            sound, crashing = await self.play(fleet, 15.0)
+            return sound, crashing, self.sends_after_limit(fleet)
+
+        sound, crashing, later_sends = self.run_scenario(
+            scenario, entries=ENTRIES, targets=TARGETS, config=configuration(3, routes=ROUTES)
+        )
+        self.assert_mostly_served(sound)
+        self.assertGreater(len(crashing), 20)
+        self.assertLessEqual(later_sends, MAX_LATER_SENDS, self.crashed_s)
+
+    def test_entry_that_starts_later_knows_the_part(self):
+        async def scenario(fleet):
+            await self.play(fleet, 6.0)
+            await fleet.add_gateway()
+            await asyncio.sleep(2.0)
+            crashed = len(self.crashed_s)
+            asking = [self.send(fleet, ENTRIES, CRASHING_PART) for _ in range(10)]
+            replies = await asyncio.gather(*asking)
+            return replies, len(self.crashed_s) - crashed
+
+        replies, crashes = self.run_scenario(
+            scenario, entries=ENTRIES, targets=TARGETS, config=configuration(3, routes=ROUTES)
+        )
+        self.assertEqual((crashes, {reply.status for reply in replies}), (0, {503}))
+        self.assertTrue(all(float(reply.headers["retry-after"]) > 0 for reply in replies))
