--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -3,6 +3,7 @@
 from ._availability import Availability, select_open, select_usable, usable_from_s
 from ._breaker import Breaker, HasBreaker, eject_failing, eject_slow, usable_targets
 from ._directory import Target, TargetDirectory
+from ._part_breakers import OpenPart, PartBreakers, PartListener, PromptLoss
 from ._store import (
     UNSTATED_ERA,
     HistoryLostError,
@@ -26,6 +27,10 @@
     "KeyedLog",
     "KeyedPage",
     "KeyedRecord",
+    "OpenPart",
+    "PartBreakers",
+    "PartListener",
+    "PromptLoss",
     "StorePosition",
     "StoreUnavailableError",
     "Target",
--- /dev/null
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -0,0 +1,230 @@
+"""Circuit breakers for parts of prompts under which targets crash.
+
+Serves loads in which requests that share one part of their prompts crash each target that begins an
+answer, and arrive at any entry. A breaker of a target does not help, as the next request crashes
+the next target. All entries pool what they see:
+
+- Evidence against a part is a request that was lost with its target before it had any output. The
+  requests that were lost together count once, and so do those that were sent before the last loss
+  that counted: a failure of many targets at once says nothing about a part.
+- Any output of a request clears its parts, as a part that crashes targets does so each time.
+- Of several parts with the same evidence the most specific one is taken, and what it explains no
+  longer counts against the others.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+LOSSES_TO_OPEN = 3
+# One request may be lost several times by chance, as it is sent again.
+REQUESTS_TO_OPEN = 2
+LOSS_MAX_AGE_S = 600.0
+MAX_LOSSES = 256
+MIN_PART_PROBE_DELAY_S = 60.0
+MAX_PART_PROBE_DELAY_S = 3600.0
+# A breaker is forgotten this many probe delays after it might have been probed.
+FORGET_AFTER_DELAYS = 4.0
+MAX_CLEARED_PARTS = 1024
+# Times from peers are less exact than this, as they travel as ages.
+TIME_TOLERANCE_S = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptLoss:
+    """A request that was lost with its target before it had any output. Times are loop times.
+
+    Attributes:
+        target_id: The instance id of the target.
+        request_part: The last part of the prompt, which identifies the request or its session.
+        parts: The other parts in order.
+        sent_s: When it was sent to the target.
+        lost_s: When it was lost.
+    """
+
+    target_id: str
+    request_part: str
+    parts: tuple[str, ...]
+    sent_s: float
+    lost_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenPart:
+    """The open breaker of a part. Times are loop times.
+
+    Attributes:
+        part: The part.
+        since_s: When the first request that counts against the part was lost.
+        probe_from_s: From then on one request may be sent as a probe.
+        probe_delay_s: The time between two probes.
+    """
+
+    part: str
+    since_s: float
+    probe_from_s: float
+    probe_delay_s: float
+
+    @property
+    def forgotten_at_s(self) -> float:
+        """Return when the breaker is forgotten if no request has the part."""
+        return self.probe_from_s + FORGET_AFTER_DELAYS * self.probe_delay_s
+
+
+class PartListener(Protocol):
+    """Receives what is new to this entry, so that its peers learn it."""
+
+    def prompt_lost(self, loss: PromptLoss) -> None:
+        """Handle a loss."""
+
+    def part_opened(self, opened: OpenPart) -> None:
+        """Handle a breaker that opened, or whose probe was put off."""
+
+    def part_cleared(self, part: str, cleared_s: float) -> None:
+        """Handle the output of a request with a part whose breaker is open here or at a peer."""
+
+
+class PartBreakers:
+    """The circuit breakers of the parts of prompts.
+
+    Args:
+        listener: Receives what is new to this entry.
+    """
+
+    def __init__(self, *, listener: PartListener) -> None:
+        self._listener = listener
+        self._losses: OrderedDict[tuple[str, str], PromptLoss] = OrderedDict()
+        self._suspects: frozenset[str] = frozenset()
+        self._open: dict[str, OpenPart] = {}
+        self._cleared_s: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def open_parts(self) -> tuple[OpenPart, ...]:
+        """Return the open breakers."""
+        return tuple(self._open.values())
+
+    @property
+    def losses(self) -> tuple[PromptLoss, ...]:
+        """Return the losses that are not forgotten."""
+        return tuple(self._losses.values())
+
+    def find_open(self, parts: Iterable[str], now_s: float) -> OpenPart | None:
+        """Return the first open breaker among the parts of a prompt; None if there is none."""
+        if not self._open:
+            return None
+        for part in parts:
+            opened = self._open.get(part)
+            if opened is not None and now_s >= opened.forgotten_at_s:
+                del self._open[part]
+            elif opened is not None:
+                return opened
+        return None
+
+    def start_probe(self, opened: OpenPart, now_s: float) -> None:
+        """Put off the next probe of a part, as one request with it is sent now."""
+        delay_s = min(MAX_PART_PROBE_DELAY_S, 2 * opened.probe_delay_s)
+        self._set_open(replace(opened, probe_from_s=now_s + delay_s, probe_delay_s=delay_s))
+
+    def record_loss(self, loss: PromptLoss, now_s: float) -> None:
+        """Record a loss that this entry or a peer saw; open the breaker of a part if it is clear.
+
+        Args:
+            loss: The loss.
+            now_s: The loop time.
+        """
+        key = (loss.target_id, loss.request_part)
+        if key in self._losses or now_s - loss.lost_s > LOSS_MAX_AGE_S or not loss.parts:
+            return
+        self._losses[key] = loss
+        self._forget_losses(now_s)
+        self._listener.prompt_lost(loss)
+        self._open_if_clear(loss, now_s)
+
+    def record_output(self, parts: Iterable[str], now_s: float) -> None:
+        """Record that a request had output, which clears its parts."""
+        if not self._suspects and not self._open:
+            return
+        for part in parts:
+            if part in self._suspects or part in self._open:
+                self.record_cleared(part, now_s)
+
+    def record_cleared(self, part: str, cleared_s: float) -> None:
+        """Record that a request with a part had output, here or at a peer.
+
+        Args:
+            part: The part.
+            cleared_s: The loop time of the output.
+        """
+        self._cleared_s[part] = max(cleared_s, self._cleared_s.get(part, cleared_s))
+        self._cleared_s.move_to_end(part)
+        if len(self._cleared_s) > MAX_CLEARED_PARTS:
+            self._cleared_s.popitem(last=False)
+        opened = self._open.get(part)
+        if opened is not None and cleared_s > opened.since_s:
+            del self._open[part]
+            self._listener.part_cleared(part, cleared_s)
+
+    def record_open(self, opened: OpenPart, now_s: float) -> None:
+        """Record a breaker that a peer opened, unless this entry knows that the part is sound."""
+        cleared_s = self._cleared_s.get(opened.part)
+        if cleared_s is not None and cleared_s > opened.since_s:
+            self._listener.part_cleared(opened.part, cleared_s)
+            return
+        known = self._open.get(opened.part)
+        is_known = known is not None and (
+            opened.probe_from_s <= known.probe_from_s + TIME_TOLERANCE_S
+        )
+        if not is_known and now_s < opened.forgotten_at_s:
+            self._set_open(opened)
+
+    def _set_open(self, opened: OpenPart) -> None:
+        self._open[opened.part] = opened
+        self._listener.part_opened(opened)
+
+    def _forget_losses(self, now_s: float) -> None:
+        for key, loss in list(self._losses.items()):
+            if len(self._losses) > MAX_LOSSES or now_s - loss.lost_s > LOSS_MAX_AGE_S:
+                del self._losses[key]
+        self._suspects = frozenset(part for loss in self._losses.values() for part in loss.parts)
+
+    def _open_if_clear(self, loss: PromptLoss, now_s: float) -> None:
+        """Open the breaker of the part of a loss that has the most evidence, if that suffices."""
+        if any(part in self._open for part in loss.parts):
+            return
+        counted = {part: list(self._counted_losses(part)) for part in loss.parts}
+        # `max` returns the first of equals, and the most specific part comes last in a prompt.
+        part = max(reversed(loss.parts), key=lambda part: len(counted[part]))
+        evidence = counted[part]
+        requests = {other.request_part for other in self._losses_of(part)}
+        if len(evidence) < LOSSES_TO_OPEN or len(requests) < REQUESTS_TO_OPEN:
+            return
+        opened = OpenPart(
+            part=part,
+            since_s=evidence[0].lost_s,
+            probe_from_s=now_s + MIN_PART_PROBE_DELAY_S,
+            probe_delay_s=MIN_PART_PROBE_DELAY_S,
+        )
+        self._set_open(opened)
+
+    def _losses_of(self, part: str) -> list[PromptLoss]:
+        """Return the losses that may be due to a part, in the order in which they happened."""
+        cleared_s = self._cleared_s.get(part, float("-inf"))
+        losses = [
+            loss
+            for loss in self._losses.values()
+            if part in loss.parts
+            and loss.lost_s > cleared_s
+            and not any(other in self._open for other in loss.parts if other != part)
+        ]
+        return sorted(losses, key=lambda loss: loss.lost_s)
+
+    def _counted_losses(self, part: str) -> Iterator[PromptLoss]:
+        """Yield the losses of a part that are independent: each was sent after the one before."""
+        last_lost_s = float("-inf")
+        targets = set()
+        for loss in self._losses_of(part):
+            if loss.sent_s >= last_lost_s and loss.target_id not in targets:
+                last_lost_s = loss.lost_s
+                targets.add(loss.target_id)
+                yield loss
--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -4,7 +4,13 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from ..egress import ConnectionPool, EgressConnection, EgressError, ResponseHead
+from ..egress import (
+    ConnectionLostError,
+    ConnectionPool,
+    EgressConnection,
+    EgressError,
+    ResponseHead,
+)
 from ..fleet import Target
 from ..ingress import Responder, Response
 from ..kernel import Event, log_event
@@ -50,6 +56,7 @@
         reservations: Reserves memory on helpers.
         metrics: Records latencies.
         on_head: Called with the target and each response head that it sent.
+        on_first_output: Called with each request when its response begins.
         is_alive: Runs a liveness check of an engine.
     """
 
@@ -59,6 +66,7 @@
     reservations: ReservationManager
     metrics: GatewayMetrics
     on_head: Callable[[Target, ResponseHead], None]
+    on_first_output: Callable[[Job], None]
     is_alive: Callable[[Target], Awaitable[bool]]
 
 
@@ -214,6 +222,7 @@
                 reason=str(error),
                 is_unresponsive=isinstance(error, TargetUnresponsiveError),
                 has_head=self._head is not None,
+                is_disconnected=isinstance(error, ConnectionLostError),
             )
 
     async def _read_rest(self, connection: EgressConnection, head: ResponseHead) -> AttemptOutcome:
@@ -327,6 +336,7 @@
         progress, metrics = self._progress, self._services.metrics
         if progress.first_output_s is None:
             progress.first_output_s = self._now_s()
+            self._services.on_first_output(self._job)
             relay_delay_s = progress.first_output_s - connection.received_s
             metrics.record_added(progress.added_s + relay_delay_s)
             taken_s = progress.first_output_s - self._job.request.read_at_s
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -12,6 +12,7 @@
 from ._metrics import GatewayMetrics
 from ._outcomes import AttemptOutcome
 from ._progress import Progress
+from ._prompt_guard import PromptGuard
 from ._request_forwarding import ForwardingServices, RequestForwarding
 from ._retry_budget import RetryBudget
 from ._scheduler import Scheduler
@@ -28,6 +29,7 @@
         scheduler: Assigns targets to requests.
         tickets: Reserves memory on helpers.
         budget: Limits retries.
+        prompts: Keeps back requests under whose prompts targets crash.
         metrics: Records attempts and latencies.
         on_failure: Called with the target and the outcome of each failed attempt.
         is_alive: Runs a liveness check of an engine.
@@ -41,6 +43,7 @@
         scheduler: Scheduler,
         tickets: ReservationManager,
         budget: RetryBudget,
+        prompts: PromptGuard,
         metrics: GatewayMetrics,
         on_failure: Callable[[Target, AttemptOutcome], None],
         on_head: Callable[[Target, ResponseHead], None],
@@ -53,10 +56,13 @@
             reservations=tickets,
             metrics=metrics,
             on_head=on_head,
+            on_first_output=prompts.record_output,
             is_alive=is_alive,
         )
         self._budget = budget
-        self._services = ForwardingServices(attempts=attempts, budget=budget, on_failure=on_failure)
+        self._services = ForwardingServices(
+            attempts=attempts, budget=budget, prompts=prompts, on_failure=on_failure
+        )
         self._loop = asyncio.get_running_loop()
 
     async def forward(self, job: Job, responder: Responder, progress: Progress) -> AttemptOutcome:
--- a/src/cicadatiller/gateway/_job.py
+++ b/src/cicadatiller/gateway/_job.py
@@ -34,3 +34,8 @@
     def request_id(self) -> str:
         """Return the request id that the caller chose."""
         return self.fields.request_id
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts that other requests may have, too."""
+        return self.fields.prompt_parts[:-1]
--- a/src/cicadatiller/gateway/_outcomes.py
+++ b/src/cicadatiller/gateway/_outcomes.py
@@ -54,6 +54,7 @@
         reservation_failed: Whether the attempt failed only because memory could not be reserved.
         is_unresponsive: Whether the target only sent no data in time; its response may still arrive.
         has_head: Whether the head of a response had arrived when the request was lost.
+        is_disconnected: Whether the connection ended before the end of the response.
     """
 
     delivery: Delivery
@@ -64,6 +65,7 @@
     reservation_failed: bool = False
     is_unresponsive: bool = False
     has_head: bool = False
+    is_disconnected: bool = False
 
 
 def choose_next_step(
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -24,6 +24,7 @@
 from ..placement import LoadBoard, Work
 from ._catch_up import REPLY_TIMEOUT_S, CatchUp, answer_request, held_checksum
 from ._followers import TopicFollower, find_follower
+from ._part_exchange import PartExchange
 from ._retry_budget import RetryBudget
 
 MAX_UNRESPONSIVE_PEER_WORK_S = 10.0
@@ -45,10 +46,12 @@
         budget: The retry budget.
         followers: The followers of the topics whose records are shared with peers.
         on_change: Called after peers' work was added or removed.
+        on_part_opened: Called after the breaker of a part of prompts opened.
         on_peer_given_up: Called with the name of a peer that could not be reached for long.
 
     Attributes:
         mesh: The links to the peers.
+        parts: What is known of parts of prompts under which targets crash.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         budget: RetryBudget,
         followers: Mapping[Topic, TopicFollower],
         on_change: Callable[[], None],
+        on_part_opened: Callable[[], None] = lambda: None,
         on_peer_given_up: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._board = board
@@ -83,6 +87,7 @@
         self._pending_leaving: list[TargetLeaving] = []
         self._has_new_offsets = False
         self._flush_handle: asyncio.Handle | None = None
+        self.parts = PartExchange(on_pending=self._schedule_flush, on_opened=on_part_opened)
         self.mesh = Mesh(greeting=greeting, transport=transport, listener=self, tasks=tasks)
         self._catch_up = CatchUp(followers=followers, request=self._request_page, tasks=tasks)
 
@@ -158,6 +163,7 @@
             known_offsets=self.known_offsets(),
             known_eras=self.known_eras(),
             leaving=tuple(map(_to_leaving, self._directory.announced_leaving())),
+            parts=self.parts.snapshot(),
         )
 
     def heartbeat(self) -> Update:
@@ -202,6 +208,7 @@
             self._apply_failure(name, failure, now_s)
         for run in update.leaving:
             self._directory.record_leaving(run.target_id, run.started_ms, source=name)
+        self.parts.apply(update.parts)
         for paced in update.paces:
             self._board.load(paced.target_id).record_pace(paced.pace)
         for use in update.retries:
@@ -321,7 +328,8 @@
 
     def _flush(self) -> None:
         self._flush_handle = None
-        has_offsets = self._has_new_offsets or bool(self._pending_leaving)
+        parts = self.parts.take_pending()
+        has_offsets = self._has_new_offsets or bool(self._pending_leaving) or not parts.is_empty
         update = Update(
             added=tuple(self._pending_added),
             begun=tuple(self._pending_begun),
@@ -332,6 +340,7 @@
             known_offsets=self.known_offsets() if has_offsets else None,
             known_eras=self.known_eras() if has_offsets else (),
             leaving=tuple(self._pending_leaving),
+            parts=parts,
         )
         self._has_new_offsets = False
         self._pending_added, self._pending_begun, self._pending_ended = [], [], []
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -27,6 +27,7 @@
 from ._orders import EngineClient
 from ._peer_sync import PeerSync
 from ._prober import EngineProber
+from ._prompt_guard import PromptGuard
 from ._redialer import Redialer
 from ._reload import SettingsRevision
 from ._retry_budget import RetryBudget
@@ -126,6 +127,11 @@
         self._followers = self._make_followers(log, decoder)
         share_era(self._followers.values())
         self.peer_sync = self._make_peer_sync(transport)
+        self._prompts = PromptGuard(
+            name=node.name,
+            breakers=self.peer_sync.parts.breakers,
+            entries=lambda: self._subset.entries,
+        )
         self._membership = self._make_membership(log)
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
         self._failures = TargetFailures(
@@ -321,6 +327,7 @@
             budget=self._budget,
             followers=self._followers,
             on_change=self._wake,
+            on_part_opened=self._refuse_waiting,
             on_peer_given_up=self._remove_member,
         )
 
@@ -393,6 +400,7 @@
             scheduler=self._scheduler,
             tickets=self._reservations,
             budget=self._budget,
+            prompts=self._prompts,
             metrics=self._metrics,
             on_failure=self._failures.record_attempt,
             on_head=self._notices.record_head,
@@ -442,6 +450,9 @@
         self.peer_sync.offsets_changed()
         self._on_topic_change()
 
+    def _refuse_waiting(self) -> None:
+        self._scheduler.refuse_waiting(self._prompts.find_refusal)
+
     def _wake(self) -> None:
         self._scheduler.wake()
 
@@ -475,6 +486,7 @@
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
             **self._notices.gauges(),
+            "prompt_parts_refused": len(self.peer_sync.parts.breakers.open_parts),
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
             "entries_known": len(self._subset.entries),
             "targets_used": self._subset.size,
--- a/src/cicadatiller/gateway/_progress.py
+++ b/src/cicadatiller/gateway/_progress.py
@@ -18,6 +18,7 @@
             the queue.
         first_output_s: Loop time at which the first event, or the whole response of a plain
             service, arrived; None until then.
+        probed_part: The part of the prompt that it probes; empty if it is no probe.
     """
 
     last_event_id: bytes = b""
@@ -28,3 +29,4 @@
     waited_s: float = 0.0
     added_s: float = 0.0
     first_output_s: float | None = None
+    probed_part: str = ""
--- /dev/null
+++ b/src/cicadatiller/gateway/_prompt_guard.py
@@ -0,0 +1,90 @@
+"""Keeps requests from targets if targets crash under a part of their prompts."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from ..fleet import OpenPart, PartBreakers, PromptLoss
+from ..kernel import ErrorKind, FailureError, fail, rendezvous_weight
+from ._attempt import Attempt
+from ._job import Job
+from ._outcomes import AttemptOutcome
+from ._progress import Progress
+
+# Of requests that come after a probe is due, at an entry that does not send it.
+MIN_RETRY_AFTER_S = 1.0
+
+
+class PromptGuard:
+    """Refuses requests with a part whose breaker is open, and collects evidence from the others.
+
+    Args:
+        name: This entry's name.
+        breakers: The breakers of the parts.
+        entries: Returns the names of all entries, of which one sends the probes of a part.
+    """
+
+    def __init__(
+        self, *, name: str, breakers: PartBreakers, entries: Callable[[], Iterable[str]]
+    ) -> None:
+        self._name = name
+        self._breakers = breakers
+        self._entries = entries
+        self._loop = asyncio.get_running_loop()
+
+    def check(self, job: Job, progress: Progress) -> None:
+        """Check that a request may be sent to a target; one of them may be sent as a probe.
+
+        Raises:
+            FailureError: If targets crash under a part of its prompt.
+        """
+        opened = self._breakers.find_open(job.shared_parts, self._loop.time())
+        if opened is None:
+            return
+        if opened.part == progress.probed_part and not progress.sends:
+            return
+        if not progress.probed_part and not progress.sends and self._may_probe(opened):
+            progress.probed_part = opened.part
+            self._breakers.start_probe(opened, self._loop.time())
+            return
+        raise self._refusal(opened)
+
+    def find_refusal(self, job: Job) -> FailureError | None:
+        """Return the error with which a waiting request is refused; None if it may wait."""
+        opened = self._breakers.find_open(job.shared_parts, self._loop.time())
+        return None if opened is None else self._refusal(opened)
+
+    def record_output(self, job: Job) -> None:
+        """Record the first output of a request."""
+        self._breakers.record_output(job.shared_parts, self._loop.time())
+
+    def record_failure(
+        self, job: Job, progress: Progress, attempt: Attempt, outcome: AttemptOutcome
+    ) -> None:
+        """Record a failed attempt; only one whose connection ended before any output counts."""
+        if not outcome.is_disconnected or not job.shared_parts:
+            return
+        if progress.last_event_id or progress.first_output_s is not None:
+            return
+        now_s = self._loop.time()
+        loss = PromptLoss(
+            target_id=attempt.grant.host.instance_id,
+            request_part=job.fields.prompt_parts[-1],
+            parts=job.shared_parts,
+            sent_s=attempt.began_s,
+            lost_s=now_s,
+        )
+        self._breakers.record_loss(loss, now_s)
+
+    def _may_probe(self, opened: OpenPart) -> bool:
+        if self._loop.time() < opened.probe_from_s:
+            return False
+        owner = max(self._entries(), key=lambda name: rendezvous_weight(name, opened.part))
+        return owner == self._name
+
+    def _refusal(self, opened: OpenPart) -> FailureError:
+        left_s = max(MIN_RETRY_AFTER_S, opened.probe_from_s - self._loop.time())
+        return fail(
+            ErrorKind.PROMPT_CRASHES,
+            f"targets crash under part {opened.part} of the prompt; send it without this part",
+            retry_after_s=round(left_s, 3),
+        )
--- a/src/cicadatiller/gateway/_request_forwarding.py
+++ b/src/cicadatiller/gateway/_request_forwarding.py
@@ -11,6 +11,7 @@
 from ._job import Job
 from ._outcomes import AttemptOutcome, Delivery, NextStep, choose_next_step
 from ._progress import Progress
+from ._prompt_guard import PromptGuard
 from ._retry_budget import RetryBudget
 
 # A healthy target may pause; after this time without data its attempt is given up.
@@ -26,11 +27,13 @@
     Attributes:
         attempts: What their attempts share.
         budget: Limits retries.
+        prompts: Keeps back requests under whose prompts targets crash.
         on_failure: Called with the target and the outcome of each failed attempt.
     """
 
     attempts: AttemptServices
     budget: RetryBudget
+    prompts: PromptGuard
     on_failure: Callable[[Target, AttemptOutcome], None]
 
 
@@ -106,10 +109,11 @@
         """Send the request to the next target and record the outcome.
 
         Raises:
-            FailureError: If no target can take it.
+            FailureError: If no target can take it, or it must not be sent.
         """
         if delay_s:
             await asyncio.sleep(delay_s)
+        self._services.prompts.check(self._job, self._progress)
         began_s = self._loop.time()
         try:
             grant = await self._scheduler.acquire(
@@ -192,6 +196,7 @@
         if outcome.delivery in (Delivery.LOST, Delivery.FAILED):
             progress.may_have_run = True
         self._services.on_failure(host, outcome)
+        self._services.prompts.record_failure(job, progress, attempt, outcome)
         self._next_step = self._choose_next_step(outcome)
         log_event(
             Event.REQUEST_RETRIED if self._next_step is NextStep.RETRY else Event.TARGET_FAILED,
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -183,6 +183,13 @@
         usable_from_s = self._candidates.usable_from_s(job.service, now_s)
         return refused_retry_after_s(job, usable_from_s, now_s)
 
+    def refuse_waiting(self, refusal: Callable[[Job], FailureError | None]) -> None:
+        """Refuse the waiting requests for which `refusal` returns an error."""
+        for waiter in self._waiters:
+            error = refusal(waiter.job)
+            if error is not None and not waiter.future.done():
+                waiter.future.set_exception(error)
+
     def wake(self) -> None:
         """Schedule a check of the waiting requests after a change of load or targets."""
         if self._waiters:
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -50,6 +50,12 @@
     )
     TARGET_PACE = (405, "info", "A target's slowdown factor against its model changed.")
     TARGET_QUIET = (407, "info", "A target wants no requests from this entry for some time.")
+    PART_REFUSED = (
+        412,
+        "warning",
+        "Targets crash under a part of prompts; requests with it are refused.",
+    )
+    PART_CLEARED = (413, "info", "A request with a part that was refused had output.")
     ORPHAN_CANCELLED = (403, "warning", "A stream or export without an owner was removed.")
     GANG_RESERVED = (410, "info", "A gang of engines was reserved for one prompt.")
     GANG_RELEASED = (411, "info", "A gang of engines was released.")
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -14,6 +14,9 @@
 
 from ._messages import (
     UNSTATED_ERA,
+    ClearedPart,
+    LostPrompt,
+    PartNews,
     RetryUse,
     StoreRecord,
     TargetFailure,
@@ -21,14 +24,16 @@
     TargetPace,
     TopicEra,
     TopicUpdate,
+    TrippedPart,
     Update,
     WorkShare,
 )
 
-FIELD_COUNT = 11
+FIELD_COUNT = 12
 OFFSETS_FIELD = 8
 ERAS_FIELD = 9
 LEAVING_FIELD = 10
+PARTS_FIELD = 11
 # The fields of a topic's row before the era, which older versions neither send nor read.
 TOPIC_FIELDS_WITHOUT_ERA = 4
 MS_PER_S = 1_000
@@ -63,6 +68,7 @@
         update.known_offsets,
         _eras_field(update),
         [[leaving.target_id, leaving.started_ms] for leaving in update.leaving],
+        _parts_field(update.parts),
     ]
     while fields[-1] in (None, []):
         fields.pop()
@@ -103,6 +109,7 @@
             leaving=tuple(
                 TargetLeaving(target_id=row[0], started_ms=row[1]) for row in padded[LEAVING_FIELD]
             ),
+            parts=_to_part_news(padded[PARTS_FIELD]),
         )
     except (TypeError, IndexError, KeyError) as error:
         raise ValueError(f"compact update is malformed: {error!r}") from error
@@ -182,6 +189,52 @@
     )
 
 
+def _parts_field(news: PartNews) -> list[list[Any]]:
+    if news.is_empty:
+        return []
+    losses = [
+        [lost.target_id, lost.request_part, lost.parts, _ms(lost.sent_age_s), _ms(lost.lost_age_s)]
+        for lost in news.losses
+    ]
+    opened = [
+        [tripped.part, _ms(tripped.age_s), _ms(tripped.probe_in_s), _ms(tripped.probe_delay_s)]
+        for tripped in news.opened
+    ]
+    return [losses, opened, [[cleared.part, _ms(cleared.age_s)] for cleared in news.cleared]]
+
+
+def _to_part_news(field: list[list[Any]]) -> PartNews:
+    if not field:
+        return PartNews()
+    losses, opened, cleared = field[:3]
+    return PartNews(
+        losses=tuple(
+            LostPrompt(
+                target_id=row[0],
+                request_part=row[1],
+                parts=tuple(row[2]),
+                sent_age_s=row[3] / MS_PER_S,
+                lost_age_s=row[4] / MS_PER_S,
+            )
+            for row in losses
+        ),
+        opened=tuple(
+            TrippedPart(
+                part=row[0],
+                age_s=row[1] / MS_PER_S,
+                probe_in_s=row[2] / MS_PER_S,
+                probe_delay_s=row[3] / MS_PER_S,
+            )
+            for row in opened
+        ),
+        cleared=tuple(ClearedPart(part=row[0], age_s=row[1] / MS_PER_S) for row in cleared),
+    )
+
+
+def _ms(time_s: float) -> int:
+    return round(time_s * MS_PER_S)
+
+
 def _limit_ms(limit_s: float) -> int | None:
     return None if limit_s == math.inf else round(limit_s * MS_PER_S)
 
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -143,6 +143,64 @@
     started_ms: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LostPrompt:
+    """A request that was lost with its target before it had any output.
+
+    Attributes:
+        target_id: The instance id of the target.
+        request_part: The last part of its prompt.
+        parts: The other parts in order.
+        sent_age_s: The time since it was sent to the target.
+        lost_age_s: The time since it was lost.
+    """
+
+    target_id: str
+    request_part: str
+    parts: tuple[str, ...]
+    sent_age_s: float
+    lost_age_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TrippedPart:
+    """A part of prompts under which targets crash.
+
+    Attributes:
+        part: The part.
+        age_s: The time since the first loss that counts against it.
+        probe_in_s: The time until a request with it may be sent as a probe.
+        probe_delay_s: The time between two probes.
+    """
+
+    part: str
+    age_s: float
+    probe_in_s: float
+    probe_delay_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClearedPart:
+    """A part of prompts with which a request had output `age_s` ago."""
+
+    part: str
+    age_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PartNews:
+    """What a sender has learnt of parts of prompts under which targets crash."""
+
+    losses: tuple[LostPrompt, ...] = ()
+    opened: tuple[TrippedPart, ...] = ()
+    cleared: tuple[ClearedPart, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return not (self.losses or self.opened or self.cleared)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetPace:
     """The slowdown factor of a target against its engine model; 1.0 is as modelled."""
@@ -180,6 +238,7 @@
         known_eras: The eras of `known_offsets`. Older versions of this program send none.
         leaving: Targets that announced that they leave. An update that has it has `known_offsets`,
             too: older peers can't read a compact update with later fields but without that one.
+        parts: Parts of prompts under which targets crash; with `known_offsets`, as `leaving`.
     """
 
     is_snapshot: bool = False
@@ -193,6 +252,7 @@
     known_offsets: dict[str, int] | None = None
     known_eras: tuple[TopicEra, ...] = ()
     leaving: tuple[TargetLeaving, ...] = ()
+    parts: PartNews = PartNews()
 
 
 @message("mesh-load", body_field="fields")
--- /dev/null
+++ b/tests/test_part_breakers.py
@@ -0,0 +1,228 @@
+"""Tests of the evidence on which parts of prompts are refused, and of how it is forgotten."""
+
+import collections
+import unittest
+
+from cicadatiller.fleet import OpenPart, PartBreakers, PromptLoss
+from cicadatiller.fleet._part_breakers import (
+    FORGET_AFTER_DELAYS,
+    LOSS_MAX_AGE_S,
+    MAX_PART_PROBE_DELAY_S,
+    MIN_PART_PROBE_DELAY_S,
+)
+
+# A common part, that of a subject, and one under which targets crash.
+COMMON, SUBJECT, CRASHING = "5a", "5b", "bad"
+PARTS = (COMMON, CRASHING, SUBJECT)
+
+
+class Recorder:
+    """Records what a `PartBreakers` announces."""
+
+    def __init__(self):
+        self.losses, self.opened, self.cleared = [], [], []
+
+    def prompt_lost(self, loss):
+        self.losses.append(loss)
+
+    def part_opened(self, opened):
+        self.opened.append(opened)
+
+    def part_cleared(self, part, cleared_s):
+        self.cleared.append(part)
+
+
+class BreakersCase(unittest.TestCase):
+    def setUp(self):
+        self.recorder = Recorder()
+        self.breakers = PartBreakers(listener=self.recorder)
+        self.numbers = iter(range(10_000))
+
+    def lose(self, lost_s, *parts, request=None, target=None, sent_s=None):
+        number = next(self.numbers)
+        loss = PromptLoss(
+            target_id=target or f"t-{number}",
+            request_part=request or f"f{number}",
+            parts=parts,
+            sent_s=lost_s - 0.1 if sent_s is None else sent_s,
+            lost_s=lost_s,
+        )
+        self.breakers.record_loss(loss, lost_s)
+        return loss
+
+    def open_parts(self):
+        return [opened.part for opened in self.breakers.open_parts]
+
+
+class EvidenceTest(BreakersCase):
+    def test_part_of_three_requests_that_were_lost_one_after_the_other_is_refused(self):
+        self.lose(1.0, COMMON, CRASHING, "5c")
+        self.breakers.record_output((COMMON,), 1.5)
+        self.lose(2.0, COMMON, CRASHING, "5d")
+        self.assertEqual(self.open_parts(), [])
+        self.lose(3.0, COMMON, CRASHING, "5e")
+        self.assertEqual(self.open_parts(), [CRASHING])
+        self.assertIsNotNone(self.breakers.find_open((COMMON, CRASHING), 3.0))
+        self.assertIsNone(self.breakers.find_open((COMMON, "5e"), 3.0))
+
+    def test_failure_of_all_targets_at_once_is_no_evidence(self):
+        for _ in range(16):
+            self.lose(1.0, *PARTS)
+        # Retries that were under way when the rest of the targets failed.
+        for _ in range(16):
+            self.lose(1.4, *PARTS, sent_s=0.9)
+        self.assertEqual(self.open_parts(), [])
+
+    def test_request_that_is_lost_again_and_again_alone_is_no_evidence(self):
+        for second in range(8):
+            self.lose(float(second), *PARTS, request="f-one")
+        self.assertEqual(self.open_parts(), [])
+
+    def test_losses_with_one_target_count_once(self):
+        for second in range(8):
+            self.lose(float(second), *PARTS, target="t-one")
+        self.assertEqual(self.open_parts(), [])
+
+    def test_parts_of_requests_with_output_in_between_are_not_refused(self):
+        for second in range(8):
+            self.lose(float(second), *PARTS)
+            self.breakers.record_output(PARTS, second + 0.5)
+        self.assertEqual(self.open_parts(), [])
+
+    def test_sound_part_that_is_often_lost_beside_the_other_is_not_refused(self):
+        for second in range(8):
+            self.lose(float(second), COMMON, CRASHING, SUBJECT)
+            self.breakers.record_output((COMMON,), second + 0.5)
+            self.lose(second + 0.6, COMMON, SUBJECT, target=f"u-{second}")
+            self.breakers.record_output((COMMON, SUBJECT), second + 0.9)
+        self.assertEqual(self.open_parts(), [CRASHING])
+
+    def test_of_parts_with_the_same_evidence_the_most_specific_one_is_refused(self):
+        for second in range(4):
+            self.lose(float(second), COMMON, CRASHING)
+        self.assertEqual(self.open_parts(), [CRASHING])
+
+    def test_part_that_goes_on_crashing_without_the_first_suspect_is_refused_next(self):
+        for second in range(3):
+            self.lose(float(second), COMMON, CRASHING, SUBJECT)
+        self.assertEqual(self.open_parts(), [SUBJECT])
+        self.breakers.record_output((COMMON,), 3.5)
+        for second in range(4, 7):
+            self.lose(float(second), COMMON, CRASHING, f"5{second}")
+        self.assertEqual(self.open_parts(), [SUBJECT, CRASHING])
+        self.breakers.record_output((COMMON, SUBJECT), 8.0)
+        self.assertEqual(self.open_parts(), [CRASHING])
+
+    def test_prompt_without_shared_parts_is_never_refused(self):
+        for second in range(8):
+            self.lose(float(second))
+        self.assertEqual((self.open_parts(), self.recorder.losses), ([], []))
+
+    def test_losses_are_forgotten(self):
+        self.lose(0.0, *PARTS)
+        self.lose(1.0, *PARTS)
+        self.lose(LOSS_MAX_AGE_S + 1.5, *PARTS)
+        self.assertEqual((self.open_parts(), len(self.breakers.losses)), ([], 1))
+
+
+class ProbeTest(BreakersCase):
+    def open_part(self, now_s=0.0):
+        opened = OpenPart(
+            part=CRASHING,
+            since_s=now_s,
+            probe_from_s=now_s + MIN_PART_PROBE_DELAY_S,
+            probe_delay_s=MIN_PART_PROBE_DELAY_S,
+        )
+        self.breakers.record_open(opened, now_s)
+
+    def test_time_between_probes_doubles_up_to_its_limit(self):
+        self.open_part()
+        delays_s, now_s = [], 0.0
+        for _ in range(8):
+            opened = self.breakers.find_open((CRASHING,), now_s)
+            now_s = opened.probe_from_s
+            self.breakers.start_probe(opened, now_s)
+            delays_s.append(self.breakers.open_parts[0].probe_delay_s)
+        self.assertEqual(delays_s[:3], [120.0, 240.0, 480.0])
+        self.assertEqual(delays_s[-1], MAX_PART_PROBE_DELAY_S)
+
+    def test_probe_with_output_clears_the_part(self):
+        self.open_part()
+        self.breakers.record_output((CRASHING,), 70.0)
+        self.assertEqual((self.open_parts(), self.recorder.cleared), ([], [CRASHING]))
+
+    def test_part_that_no_request_has_any_more_is_forgotten(self):
+        self.open_part()
+        late_s = MIN_PART_PROBE_DELAY_S * (1 + FORGET_AFTER_DELAYS)
+        self.assertIsNotNone(self.breakers.find_open((CRASHING,), late_s - 1))
+        self.assertIsNone(self.breakers.find_open((CRASHING,), late_s + 1))
+
+    def test_part_that_peers_refuse_is_defended_by_an_entry_that_saw_its_output_since(self):
+        self.lose(1.0, *PARTS)
+        self.breakers.record_output((CRASHING,), 2.0)
+        self.open_part(now_s=1.0)
+        self.assertEqual((self.open_parts(), self.recorder.cleared), ([], [CRASHING]))
+
+    def test_part_that_began_to_crash_targets_later_is_refused_all_the_same(self):
+        self.lose(1.0, *PARTS)
+        self.breakers.record_output(PARTS, 2.0)
+        for second in range(3, 6):
+            self.lose(float(second), *PARTS)
+            self.breakers.record_output((COMMON, SUBJECT), second + 0.5)
+        self.assertEqual(self.open_parts(), [CRASHING])
+
+
+class LargeFleetTest(unittest.TestCase):
+    """Entries on a ring, each of which tells its neighbours what is new to it."""
+
+    def spread(self, entries, neighbours, losses):
+        """Let entries see losses one after the other; return the breakers and the messages sent."""
+        queue, sent = collections.deque(), collections.Counter()
+
+        def listener(index):
+            recorder = Recorder()
+            peers = [(index + step) % entries for step in range(-neighbours, neighbours + 1)]
+            peers = sorted(set(peers) - {index})
+
+            def tell(kind, *news):
+                for peer in peers:
+                    sent[index] += 1
+                    queue.append((peer, kind, news))
+
+            recorder.prompt_lost = lambda loss: tell("loss", loss)
+            recorder.part_opened = lambda opened: tell("open", opened)
+            recorder.part_cleared = lambda part, cleared_s: tell("cleared", part, cleared_s)
+            return recorder
+
+        fleet = [PartBreakers(listener=listener(index)) for index in range(entries)]
+        for index, loss in losses:
+            fleet[index].record_loss(loss, loss.lost_s)
+            while queue:
+                peer, kind, news = queue.popleft()
+                if kind == "loss":
+                    fleet[peer].record_loss(news[0], loss.lost_s)
+                elif kind == "open":
+                    fleet[peer].record_open(news[0], loss.lost_s)
+                else:
+                    fleet[peer].record_cleared(*news)
+        return fleet, sent
+
+    def test_losses_at_three_of_355_entries_are_known_to_all_by_few_messages(self):
+        losses = [
+            PromptLoss(
+                target_id=f"t-{index}",
+                request_part=f"f{index}",
+                parts=(COMMON, f"5{index}", CRASHING),
+                sent_s=float(index),
+                lost_s=index + 0.5,
+            )
+            for index in (0, 120, 240)
+        ]
+        for entries, neighbours in ((4, 7), (355, 7)):
+            with self.subTest(entries=entries):
+                own = [(int(loss.sent_s) % entries, loss) for loss in losses]
+                fleet, sent = self.spread(entries, neighbours, own)
+                refused = [[opened.part for opened in b.open_parts] for b in fleet]
+                self.assertEqual(refused, [[CRASHING]] * entries)
+                # Three losses and one breaker, once to each neighbour.
+                self.assertLessEqual(max(sent.values()), 4 * 2 * neighbours)
