--- a/src/cicadatiller/gateway/_target_notices.py
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -1,6 +1,7 @@
 """Applies what targets state about themselves in their responses."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -53,6 +54,7 @@
         self._listener = listener
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
+        self._limits_per_s: dict[str, float] = {}
 
     def record_head(self, target: Target, head: ResponseHead) -> None:
         """Apply the response head of a target that a request was sent to."""
@@ -103,6 +105,15 @@
             self._record_leaving(target)
         if notice.quiet_s > 0:
             self._record_quiet(target, notice.quiet_s)
+        if notice.limit_per_s is not None:
+            self._log_limit(target.instance_id, notice.limit_per_s)
+
+    def _log_limit(self, instance_id: str, limit_per_s: float) -> None:
+        if self._limits_per_s.get(instance_id, math.inf) == limit_per_s:
+            return
+        self._limits_per_s[instance_id] = limit_per_s
+        shown = None if limit_per_s == math.inf else limit_per_s
+        log_event(Event.TARGET_LIMITED, target=instance_id, limit_per_s=shown)
 
     def _record_leaving(self, target: Target) -> None:
         record = target.record
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -1,5 +1,6 @@
 """The interface to the request and response headers of a deployment."""
 
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -61,10 +62,13 @@
     Attributes:
         is_leaving: Whether it leaves and wants no new work.
         quiet_s: The time for which it wants no request from this entry; 0 if it states none.
+        limit_per_s: The requests a second that it takes from all entries together; infinite if it
+            states no limit, None if it states one that can't be read.
     """
 
     is_leaving: bool = False
     quiet_s: float = 0.0
+    limit_per_s: float | None = math.inf
 
 
 class WireCodec(Protocol):
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -56,6 +56,11 @@
         "Targets crash under a part of prompts; requests with it are refused.",
     )
     PART_CLEARED = (413, "info", "A request with a part that was refused had output.")
+    TARGET_LIMITED = (
+        408,
+        "info",
+        "The rate of requests that a target takes from all entries changed.",
+    )
     ORPHAN_CANCELLED = (403, "warning", "A stream or export without an owner was removed.")
     GANG_RESERVED = (410, "info", "A gang of engines was reserved for one prompt.")
     GANG_RELEASED = (411, "info", "A gang of engines was released.")
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -3,6 +3,7 @@
 This module maps the platform's header names to fields of the project.
 """
 
+import math
 import re
 from collections.abc import Iterable
 
@@ -37,9 +38,11 @@
 # "1" if the target leaves.
 LEAVING = b"server-leaving"
 LEAVING_VALUE = b"1"
+# The requests a second that the target takes from all entries together, while it says so.
+LIMIT = b"server-limit"
 RETRY_AFTER = b"Retry-After"
 # In a target's response, only seconds count: a date depends on the clocks of two instances.
-SECONDS_PATTERN = re.compile(rb"\d+(\.\d+)?")
+DECIMAL_PATTERN = re.compile(rb"\d+(\.\d+)?")
 UNAVAILABLE = 503
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -123,6 +126,7 @@
         return TargetNotice(
             is_leaving=(head.find(LEAVING) or b"").strip() == LEAVING_VALUE,
             quiet_s=_parse_quiet_s(head),
+            limit_per_s=_parse_limit(head),
         )
 
     def blamed_address(self, head: ResponseHead) -> str:
@@ -164,11 +168,20 @@
 def _parse_quiet_s(head: ResponseHead) -> float:
     """Return the seconds of Retry-After in a 503; 0 if it is missing or no plain number."""
     value = (head.find(RETRY_AFTER.lower()) or b"").strip()
-    if head.status != UNAVAILABLE or SECONDS_PATTERN.fullmatch(value) is None:
+    if head.status != UNAVAILABLE or DECIMAL_PATTERN.fullmatch(value) is None:
         return 0.0
     return float(value)
 
 
+def _parse_limit(head: ResponseHead) -> float | None:
+    """Return the stated limit; infinite if there is none, None if it is no plain number."""
+    value = head.find(LIMIT)
+    if value is None:
+        return math.inf
+    value = value.strip()
+    return float(value) if DECIMAL_PATTERN.fullmatch(value) else None
+
+
 def _parse_host_name(value: bytes) -> str:
     name = value.decode("latin-1").strip().lower()
     return name.rpartition(":")[0] if ":" in name else name
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import re
 import tempfile
 import unittest
@@ -312,6 +313,17 @@
         for malformed in (b"", b",", b"5c:800,,e4:2", b"5c:800,:2", b"5c 91:3", b"\xff:1"):
             self.assertEqual(parts(malformed), (), malformed)
 
+    def test_limit_of_a_target_is_a_plain_number(self):
+        def limit(*values):
+            headers = tuple((b"Server-Limit", value) for value in values)
+            head = ResponseHead(status=200, headers=headers, has_length=True)
+            return PlatformHeaders().decode_notice(head).limit_per_s
+
+        self.assertEqual([limit(b"1.1"), limit(b" 20 "), limit(b"0")], [1.1, 20.0, 0.0])
+        self.assertEqual(limit(), math.inf)
+        for malformed in (b"", b"-1", b"nan", b"inf", b"1e3", b"1,5", b"1.", b"fast", b"1 2"):
+            self.assertIsNone(limit(malformed), malformed)
+
     def test_request_headers_for_a_target(self):
         request = self.request((b"Authorization", b"Bearer k"), (b"Token-Counts", b"9,9"))
         fields = TargetFields(
