--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -176,6 +176,7 @@
         order_handler: Called with each order; returns the status to respond with, or "hang".
         is_leaving: Whether all responses state that it leaves.
         retry_after: The Retry-After value of its responses with status 503; None for no header.
+        limit: The Server-Limit value of all its responses; None for no header.
         report_status: The status of its reports.
         received: The requests of all kinds that reached it, as (loop time, path).
         crashing_parts: The ids of the parts of prompts under which it crashes as it begins to write
@@ -206,6 +207,7 @@
         self.order_handler = lambda order: 200
         self.is_leaving = False
         self.retry_after = None
+        self.limit = None
         self.report_status = 200
         self.received = []
         self.crashing_parts = frozenset()
@@ -292,6 +294,8 @@
         headers = ((b"Server-Leaving", b"1"),) if self.is_leaving else ()
         if status == 503 and self.retry_after is not None:
             headers += ((b"Retry-After", self.retry_after),)
+        if self.limit is not None:
+            headers += ((b"Server-Limit", self.limit),)
         return headers
 
     async def _refuse(self, headers, status, responder, blamed=""):
