--- a/src/cicadatiller/fleet/_availability.py
+++ b/src/cicadatiller/fleet/_availability.py
@@ -1,8 +1,8 @@
 """Whether a target may get new work now, and if not, from when on.
 
 Two kinds of reasons keep new work from a target. What the target states is binding: one that leaves
-gets none, and one that asked this entry for no requests gets none until the end of that time. What
-this entry observes, by the circuit breaker, is a preference: ejected targets are used again if too
+gets none, one that asked this entry for no requests gets none until the end of that time, and one
+that states a rate gets no more than that from all entries together. What this entry observes, by the circuit breaker, is a preference: ejected targets are used again if too
 many of a pool are ejected. `select_usable` applies both, the binding one first.
 """
 
@@ -11,6 +11,7 @@
 from typing import Protocol, TypeVar
 
 from ._breaker import HasBreaker, usable_targets
+from ._stated_rate import StatedRate
 from ._target import TargetState
 
 # Long enough for the registration of a target that is shutting down to say LEAVING.
@@ -28,11 +29,13 @@
         registered_state: The state in the target's registration.
         has_announced_leaving: Whether the target has stated in a response that it leaves. This is
             final for the run; a registration does not undo it.
+        rate: The rate of requests that it takes from all entries together.
     """
 
     def __init__(self, *, registered_state: TargetState = TargetState.READY) -> None:
         self.registered_state = registered_state
         self.has_announced_leaving = False
+        self.rate = StatedRate()
         self._quiet_until_s = -math.inf
         self._quiet_requests = 0
         self._help_backoff_until_s = -math.inf
@@ -44,10 +47,19 @@
 
     def usable_from_s(self, now_s: float) -> float:
         """Return the loop time from which the target may get new work, infinite if never."""
-        return math.inf if self.is_leaving else max(now_s, self._quiet_until_s)
+        if self.is_leaving:
+            return math.inf
+        return max(now_s, self._quiet_until_s, self.rate.next_send_s(now_s))
 
     def is_usable(self, now_s: float) -> bool:
-        """Return whether the target may get new work now."""
+        """Return whether the target wants new work now, at whatever rate.
+
+        A request that was placed on it may then be sent: its part of the rate is taken.
+        """
+        return not self.is_leaving and not self.is_quiet(now_s)
+
+    def may_place(self, now_s: float) -> bool:
+        """Return whether one more request may be placed on the target now."""
         return self.usable_from_s(now_s) <= now_s
 
     def is_quiet(self, now_s: float) -> bool:
@@ -60,6 +72,8 @@
 
     def may_help(self, now_s: float) -> bool:
         """Return whether the target may prefill parts of prompts hosted elsewhere."""
+        if self.rate.is_limited:
+            return False
         return now_s >= self._help_backoff_until_s and self.is_usable(now_s)
 
     def record_help_failure(self, now_s: float) -> None:
@@ -111,7 +125,7 @@
 
 def select_open(pool: Sequence[T], now_s: float) -> list[T]:
     """Return the targets of a pool that state nothing against new work, ejected or not."""
-    return [target for target in pool if target.availability.is_usable(now_s)]
+    return [target for target in pool if target.availability.may_place(now_s)]
 
 
 def usable_from_s(pool: Sequence[T], now_s: float) -> float:
--- a/src/cicadatiller/fleet/_directory.py
+++ b/src/cicadatiller/fleet/_directory.py
@@ -9,7 +9,7 @@
 from ._breaker import Breaker
 from ._target import TargetRecord, TargetState
 
-# Runs that announced that they leave, or asked for no requests, and are not registered here.
+# Runs that stated something about themselves and are not registered here.
 MAX_UNREGISTERED_RUNS = 1024
 
 
@@ -116,6 +116,10 @@
         """Return the targets that stated in a response that they leave."""
         return [t for t in self._targets.values() if t.availability.has_announced_leaving]
 
+    def limited(self) -> list[Target]:
+        """Return the targets that state the rate of requests that they take."""
+        return [t for t in self._targets.values() if t.availability.rate.is_limited]
+
     def put(self, record: TargetRecord) -> bool:
         """Add or update a target's registration; return whether it is a new run."""
         known = self._targets.get(record.instance_id)
@@ -149,16 +153,30 @@
             started_ms: The start time of the run, as in `TargetRecord`.
             source: Where this entry learnt it, for the log.
         """
-        target = self._targets.get(instance_id)
-        if target is None or target.record.started_ms < started_ms:
-            return self._record_unregistered_leaving(instance_id, started_ms, source)
-        if target.record.started_ms > started_ms or target.availability.has_announced_leaving:
+        availability = self.availability_of(instance_id, started_ms)
+        if availability is None or availability.has_announced_leaving:
             return False
-        target.availability.has_announced_leaving = True
+        availability.has_announced_leaving = True
         self.revision += 1
         log_event(Event.TARGET_LEAVING, name=instance_id, source=source)
         return True
 
+    def availability_of(self, instance_id: str, started_ms: int) -> Availability | None:
+        """Return what a run states, which may not be registered; None if a later run is known.
+
+        Args:
+            instance_id: The target's instance id.
+            started_ms: The start time of the run, as in `TargetRecord`.
+        """
+        target = self._targets.get(instance_id)
+        if target is not None and target.record.started_ms >= started_ms:
+            return target.availability if target.record.started_ms == started_ms else None
+        run = self._unregistered.get(instance_id)
+        if run is None or run.started_ms < started_ms:
+            run = _UnregisteredRun(started_ms=started_ms, availability=Availability())
+            self._remember(instance_id, run)
+        return run.availability if run.started_ms == started_ms else None
+
     def _add_run(self, record: TargetRecord, known: Target | None) -> None:
         availability = self._stated_before(record, known)
         self.revision += 1
@@ -181,17 +199,6 @@
             del self._unregistered[record.instance_id]
         return run.availability
 
-    def _record_unregistered_leaving(self, instance_id: str, started_ms: int, source: str) -> bool:
-        run = self._unregistered.get(instance_id)
-        if run is None or run.started_ms < started_ms:
-            run = _UnregisteredRun(started_ms=started_ms, availability=Availability())
-            self._remember(instance_id, run)
-        if run.started_ms > started_ms or run.availability.has_announced_leaving:
-            return False
-        run.availability.has_announced_leaving = True
-        log_event(Event.TARGET_LEAVING, name=instance_id, source=source)
-        return True
-
     def _remember(self, instance_id: str, run: _UnregisteredRun) -> None:
         known = self._unregistered.get(instance_id)
         if known is not None and known.started_ms > run.started_ms:
--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -55,7 +55,8 @@
         scheduler: Is told of first events, calls and the end of each attempt.
         reservations: Reserves memory on helpers.
         metrics: Records latencies.
-        on_head: Called with the target and each response head that it sent.
+        on_head: Called with the target, each response head that it sent, and when its request was
+            sent.
         on_first_output: Called with each request when its response begins.
         is_alive: Runs a liveness check of an engine.
     """
@@ -65,7 +66,7 @@
     scheduler: Scheduler
     reservations: ReservationManager
     metrics: GatewayMetrics
-    on_head: Callable[[Target, ResponseHead], None]
+    on_head: Callable[[Target, ResponseHead, float], None]
     on_first_output: Callable[[Job], None]
     is_alive: Callable[[Target], Awaitable[bool]]
 
@@ -214,7 +215,7 @@
         try:
             if self._head is None:
                 self._head = await self._read_head(connection)
-                self._services.on_head(self.grant.host, self._head)
+                self._services.on_head(self.grant.host, self._head, self._sent_s)
             return await self._read_rest(connection, self._head)
         except (EgressError, EventTooLongError) as error:
             return AttemptOutcome(
--- a/src/cicadatiller/gateway/_candidates.py
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -67,8 +67,7 @@
         """Return the targets of a request's service that may be tried now.
 
         Returns:
-            At least one target; none if the request resumes a stream and its caller still waits
-            when a target may be used again.
+            At least one target; none if the request may wait until a target can be used.
 
         Raises:
             FailureError: If there is none.
@@ -92,7 +91,10 @@
         return untried
 
     def _check_wait(self, waiter: Waiter, now_s: float) -> None:
-        """Check that a request may wait until a target that wants no requests can be used.
+        """Check that a request may wait until a target can be used that can't be now.
+
+        All may wait for a target that only limits its rate, and resumed streams for one that wants
+        no requests.
 
         Raises:
             FailureError: If it may not: its caller is told at once.
@@ -101,7 +103,10 @@
         pool = self._spare_targets(job.service)
         if waiter.only is not None:
             pool = [target for target in pool if target.instance_id in waiter.only]
-        if waiter.is_resumed and _can_wait_for(waiter, _untried(waiter, pool), now_s):
+        untried = _untried(waiter, pool)
+        if not waiter.is_resumed:
+            untried = [target for target in untried if target.is_usable(now_s)]
+        if _can_wait_for(waiter, untried, now_s):
             return
         from_s = usable_from_s(pool, now_s)
         if from_s <= now_s or from_s == math.inf:
--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -46,7 +46,7 @@
         prompts: PromptGuard,
         metrics: GatewayMetrics,
         on_failure: Callable[[Target, AttemptOutcome], None],
-        on_head: Callable[[Target, ResponseHead], None],
+        on_head: Callable[[Target, ResponseHead, float], None],
         is_alive: Callable[[Target], Awaitable[bool]],
     ) -> None:
         attempts = AttemptServices(
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -1,6 +1,7 @@
 """Exchange of load, target health, retry use and store records between an entry and its peers."""
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 
 from ..channels import Transport
@@ -14,6 +15,7 @@
     TargetFailure,
     TargetLeaving,
     TargetPace,
+    TargetRate,
     TopicEra,
     TopicPage,
     TopicRequest,
@@ -26,6 +28,7 @@
 from ._followers import TopicFollower, find_follower
 from ._part_exchange import PartExchange
 from ._retry_budget import RetryBudget
+from ._target_notices import log_rate
 
 MAX_UNRESPONSIVE_PEER_WORK_S = 10.0
 
@@ -85,6 +88,7 @@
         self._pending_failures: list[TargetFailure] = []
         self._pending_paces: list[TargetPace] = []
         self._pending_leaving: list[TargetLeaving] = []
+        self._pending_rates: list[TargetRate] = []
         self._has_new_offsets = False
         self._flush_handle: asyncio.Handle | None = None
         self.parts = PartExchange(on_pending=self._schedule_flush, on_opened=on_part_opened)
@@ -129,6 +133,16 @@
         self._pending_leaving.append(_to_leaving(target))
         self._schedule_flush()
 
+    def target_rate_changed(self, target: Target) -> None:
+        """Announce to the peers the rate of requests that a target takes."""
+        self._pending_rates.append(_to_rate(target))
+        self._schedule_flush()
+
+    def limited_target_used(self, target: Target) -> None:
+        """Announce to the peers an order or a report that counts against a target's rate."""
+        self._pending_rates.append(_to_rate(target, sends=1))
+        self._schedule_flush()
+
     def topic_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
         """Send to the peers the records that this entry read, so that they need not read them."""
         self._pending_topic_updates.append(_to_topic_update(topic, from_offset, page))
@@ -164,6 +178,7 @@
             known_eras=self.known_eras(),
             leaving=tuple(map(_to_leaving, self._directory.announced_leaving())),
             parts=self.parts.snapshot(),
+            rates=tuple(map(_to_rate, self._directory.limited())),
         )
 
     def heartbeat(self) -> Update:
@@ -196,29 +211,41 @@
         """Apply an update of a peer."""
         now_s = self._loop.time()
         self._unheard_since_s.pop(name, None)
+        self._apply_work(name, update, now_s)
+        self._apply_targets(name, update, now_s)
+        self.parts.apply(update.parts)
+        for use in update.retries:
+            self._budget.record_peer_use(name, use.service, use.requests, use.retries)
+        for news in update.news:
+            self._apply_topic_update(news)
+        if update.known_offsets is not None:
+            self._catch_up.record_offsets(name, update.known_offsets, update.known_eras)
+        self._budget.connected_entries = 1 + len(self.mesh.connected_peers)
+        self._on_change()
+
+    def _apply_work(self, name: str, update: Update, now_s: float) -> None:
+        """Apply what a peer placed, and how its requests went on."""
         if update.is_snapshot:
             self._drop_peer_works(name, now_s)
+        else:
+            self._count_sends(update.added, now_s)
         target_ids_by_work = self._peer_target_ids.setdefault(name, {})
         self._apply_added(name, update.added, target_ids_by_work, now_s)
         for work_id in update.begun:
             self._board.record_first_event(work_id, target_ids_by_work.get(work_id, ()), now_s)
         for work_id in update.ended:
             self._board.remove(work_id, target_ids_by_work.pop(work_id, ()), now_s, by_peer=True)
+
+    def _apply_targets(self, name: str, update: Update, now_s: float) -> None:
+        """Apply what a peer learnt of targets."""
         for failure in update.failures:
             self._apply_failure(name, failure, now_s)
         for run in update.leaving:
             self._directory.record_leaving(run.target_id, run.started_ms, source=name)
-        self.parts.apply(update.parts)
+        for rate in update.rates:
+            self._apply_rate(name, rate, now_s)
         for paced in update.paces:
             self._board.load(paced.target_id).record_pace(paced.pace)
-        for use in update.retries:
-            self._budget.record_peer_use(name, use.service, use.requests, use.retries)
-        for news in update.news:
-            self._apply_topic_update(news)
-        if update.known_offsets is not None:
-            self._catch_up.record_offsets(name, update.known_offsets, update.known_eras)
-        self._budget.connected_entries = 1 + len(self.mesh.connected_peers)
-        self._on_change()
 
     def peer_lost(self, name: str, *, timed_out: bool) -> None:
         """Drop the work of a peer whose inbound link was lost.
@@ -265,6 +292,22 @@
         for work_id, target_ids in targets.items():
             target_ids_by_work[work_id] = tuple(target_ids)
 
+    def _count_sends(self, shares: tuple[WorkShare, ...], now_s: float) -> None:
+        for share in shares:
+            target = self._directory.find(share.target_id)
+            if target is not None and share.writes:
+                target.availability.rate.record_send(now_s)
+
+    def _apply_rate(self, name: str, stated: TargetRate, now_s: float) -> None:
+        availability = self._directory.availability_of(stated.target_id, stated.started_ms)
+        if availability is None:
+            return
+        rate_per_s = math.inf if stated.rate_per_s is None else stated.rate_per_s
+        if availability.rate.record(rate_per_s, now_s):
+            log_rate(stated.target_id, rate_per_s, source=name)
+        for _ in range(stated.sends):
+            availability.rate.record_send(now_s)
+
     def _apply_failure(self, name: str, failure: TargetFailure, now_s: float) -> None:
         target = self._directory.find(failure.target_id)
         if target is None:
@@ -330,6 +373,7 @@
         self._flush_handle = None
         parts = self.parts.take_pending()
         has_offsets = self._has_new_offsets or bool(self._pending_leaving) or not parts.is_empty
+        has_offsets = has_offsets or bool(self._pending_rates)
         update = Update(
             added=tuple(self._pending_added),
             begun=tuple(self._pending_begun),
@@ -341,11 +385,12 @@
             known_eras=self.known_eras() if has_offsets else (),
             leaving=tuple(self._pending_leaving),
             parts=parts,
+            rates=tuple(self._pending_rates),
         )
         self._has_new_offsets = False
         self._pending_added, self._pending_begun, self._pending_ended = [], [], []
         self._pending_topic_updates, self._pending_failures, self._pending_paces = [], [], []
-        self._pending_leaving = []
+        self._pending_leaving, self._pending_rates = [], []
         self.mesh.broadcast(update)
 
 
@@ -353,6 +398,16 @@
     return TargetLeaving(target_id=target.instance_id, started_ms=target.record.started_ms)
 
 
+def _to_rate(target: Target, sends: int = 0) -> TargetRate:
+    rate_per_s = target.availability.rate.rate_per_s
+    return TargetRate(
+        target_id=target.instance_id,
+        started_ms=target.record.started_ms,
+        rate_per_s=rate_per_s if rate_per_s < math.inf else None,
+        sends=sends,
+    )
+
+
 def _to_topic_update(topic: Topic, from_offset: int, page: KeyedPage) -> TopicUpdate:
     return TopicUpdate(
         topic=topic.value,
--- a/src/cicadatiller/gateway/_prober.py
+++ b/src/cicadatiller/gateway/_prober.py
@@ -86,8 +86,9 @@
         return [
             target
             for target in self._directory.targets()
-            if target.is_usable(now_s)
-            and not target.breaker.is_unreachable
+            if target.is_usable(now_s) and not target.breaker.is_unreachable
+            # Its reports would take what requests may use.
+            and not target.availability.rate.is_limited
             and self._is_engine(target.record.service)
             and self._name == self._responsible_entry(target)
         ]
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -244,6 +244,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._pool.close_expired()
             self._notices.close_idle()
+            self._share_rates()
             self._log_figures()
             if self._loop.time() >= next_selection_s:
                 next_selection_s += PEER_SELECTION_INTERVAL_S
@@ -422,6 +423,13 @@
         entries = (self._node.name, *self.peer_sync.mesh.connected_peers)
         return self._subset.users(target_id, entries)
 
+    def _share_rates(self) -> None:
+        """Leave to the entries that are not connected their part of what targets take."""
+        for target in self._directory.limited():
+            users = len(self._subset.users(target.instance_id, self._subset.entries))
+            connected = max(1, len(self._connected_users(target.instance_id)))
+            target.availability.rate.connected_share = connected / max(connected, users)
+
     def _on_members_change(self) -> None:
         addresses = self._members.addresses
         self._subset.set_entries(addresses)
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -378,6 +378,7 @@
         load = self._board.load(grant.host.instance_id)
         wait_s = load.prefill_wait_s(now_s)
         grant.host.breaker.record_dispatch(now_s)
+        grant.host.availability.rate.record_send(now_s)
         self._board.add(works)
         self._listener.work_added(works)
         return replace(
--- a/src/cicadatiller/gateway/_target_notices.py
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -24,6 +24,18 @@
     def target_pace_changed(self, target_id: str, pace: float) -> None:
         """Handle the changed pace in a target's report."""
 
+    def target_rate_changed(self, target: Target) -> None:
+        """Handle a target that changed the rate of requests that it takes."""
+
+    def limited_target_used(self, target: Target) -> None:
+        """Handle an order or a report that counts against the rate of a target."""
+
+
+def log_rate(instance_id: str, rate_per_s: float, *, source: str) -> None:
+    """Log the rate that a target takes; `source` is where this entry learnt it."""
+    shown = rate_per_s if rate_per_s < math.inf else None
+    log_event(Event.TARGET_LIMITED, target=instance_id, limit_per_s=shown, source=source)
+
 
 class TargetNotices:
     """Applies the notices in response heads, and the pace in reports.
@@ -54,27 +66,36 @@
         self._listener = listener
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
-        self._limits_per_s: dict[str, float] = {}
 
-    def record_head(self, target: Target, head: ResponseHead) -> None:
-        """Apply the response head of a target that a request was sent to."""
+    def record_head(self, target: Target, head: ResponseHead, sent_s: float) -> None:
+        """Apply the response head of a target that a request was sent to at `sent_s`."""
+        notice = self._codec.decode_notice(head)
         if head.status == MISDIRECTED:
             # Another run listens at the address, and speaks for itself.
             successor = self._directory.find_at(target.record.address, other_than=target)
             if successor is not None:
-                self._apply(successor, self._codec.decode_notice(head))
+                self._apply(successor, notice, sent_s)
             return
-        self._apply(target, self._codec.decode_notice(head))
+        self._apply(target, notice, sent_s)
 
     def record_head_at(self, address: str, head: ResponseHead) -> None:
-        """Apply the response head to an order or a report, which are sent to an address."""
+        """Apply the response head to an order or a report, which are sent to an address.
+
+        One that states no rate does not end it, as only responses to requests have to state it.
+        """
         notice = self._codec.decode_notice(head)
-        if not notice.is_leaving and notice.quiet_s <= 0:
+        if notice.is_empty:
             # Spares the search through all targets for each order.
             return
         target = self._directory.find_at(address)
-        if target is not None:
-            self._apply(target, notice)
+        if target is None:
+            return
+        is_limited = notice.limit_per_s not in (None, math.inf)
+        now_s = self._loop.time()
+        self._apply(target, notice, sent_s=now_s if is_limited else -math.inf)
+        if is_limited:
+            target.availability.rate.record_send(now_s)
+            self._listener.limited_target_used(target)
 
     def record_pace(self, instance_id: str, pace: float) -> None:
         """Apply the pace in a target's report."""
@@ -98,22 +119,23 @@
         return {
             "targets_announced_leaving": len(self._directory.announced_leaving()),
             "targets_quiet": len(quiet),
+            "targets_limited": len(self._directory.limited()),
         }
 
-    def _apply(self, target: Target, notice: TargetNotice) -> None:
+    def _apply(self, target: Target, notice: TargetNotice, sent_s: float) -> None:
         if notice.is_leaving:
             self._record_leaving(target)
         if notice.quiet_s > 0:
             self._record_quiet(target, notice.quiet_s)
         if notice.limit_per_s is not None:
-            self._log_limit(target.instance_id, notice.limit_per_s)
+            self._record_rate(target, notice.limit_per_s, sent_s)
 
-    def _log_limit(self, instance_id: str, limit_per_s: float) -> None:
-        if self._limits_per_s.get(instance_id, math.inf) == limit_per_s:
+    def _record_rate(self, target: Target, rate_per_s: float, sent_s: float) -> None:
+        if not target.availability.rate.record(rate_per_s, self._loop.time(), sent_s=sent_s):
             return
-        self._limits_per_s[instance_id] = limit_per_s
-        shown = None if limit_per_s == math.inf else limit_per_s
-        log_event(Event.TARGET_LIMITED, target=instance_id, limit_per_s=shown)
+        log_rate(target.instance_id, rate_per_s, source="response")
+        self._listener.target_rate_changed(target)
+        self._on_change()
 
     def _record_leaving(self, target: Target) -> None:
         record = target.record
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -70,6 +70,11 @@
     quiet_s: float = 0.0
     limit_per_s: float | None = math.inf
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the response states nothing."""
+        return not self.is_leaving and self.quiet_s <= 0 and self.limit_per_s == math.inf
+
 
 class WireCodec(Protocol):
     """Decodes and encodes the headers that a deployment's callers and targets use."""
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -22,6 +22,7 @@
     TargetFailure,
     TargetLeaving,
     TargetPace,
+    TargetRate,
     TopicEra,
     TopicUpdate,
     TrippedPart,
@@ -29,11 +30,12 @@
     WorkShare,
 )
 
-FIELD_COUNT = 12
+FIELD_COUNT = 13
 OFFSETS_FIELD = 8
 ERAS_FIELD = 9
 LEAVING_FIELD = 10
 PARTS_FIELD = 11
+RATES_FIELD = 12
 # The fields of a topic's row before the era, which older versions neither send nor read.
 TOPIC_FIELDS_WITHOUT_ERA = 4
 MS_PER_S = 1_000
@@ -69,6 +71,7 @@
         _eras_field(update),
         [[leaving.target_id, leaving.started_ms] for leaving in update.leaving],
         _parts_field(update.parts),
+        [[r.target_id, r.started_ms, r.rate_per_s, r.sends] for r in update.rates],
     ]
     while fields[-1] in (None, []):
         fields.pop()
@@ -110,6 +113,10 @@
                 TargetLeaving(target_id=row[0], started_ms=row[1]) for row in padded[LEAVING_FIELD]
             ),
             parts=_to_part_news(padded[PARTS_FIELD]),
+            rates=tuple(
+                TargetRate(target_id=row[0], started_ms=row[1], rate_per_s=row[2], sends=row[3])
+                for row in padded[RATES_FIELD]
+            ),
         )
     except (TypeError, IndexError, KeyError) as error:
         raise ValueError(f"compact update is malformed: {error!r}") from error
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -143,6 +143,23 @@
     started_ms: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetRate:
+    """The rate of requests that a run of a target takes from all entries together.
+
+    Attributes:
+        target_id: The instance id of the target.
+        started_ms: The start time of the run; see `TargetRecord`.
+        rate_per_s: The requests a second; None if it limits them no more.
+        sends: What the sender sent to it beside the requests that it announced as work.
+    """
+
+    target_id: str
+    started_ms: int
+    rate_per_s: float | None = None
+    sends: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LostPrompt:
     """A request that was lost with its target before it had any output.
@@ -239,6 +256,7 @@
         leaving: Targets that announced that they leave. An update that has it has `known_offsets`,
             too: older peers can't read a compact update with later fields but without that one.
         parts: Parts of prompts under which targets crash; with `known_offsets`, as `leaving`.
+        rates: Targets that limit their requests; with `known_offsets`, as `leaving`.
     """
 
     is_snapshot: bool = False
@@ -253,6 +271,7 @@
     known_eras: tuple[TopicEra, ...] = ()
     leaving: tuple[TargetLeaving, ...] = ()
     parts: PartNews = PartNews()
+    rates: tuple[TargetRate, ...] = ()
 
 
 @message("mesh-load", body_field="fields")
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -11,17 +11,22 @@
 from cicadatiller.mesh import (
     COMPACT_PROTOCOL,
     FIRST_PROTOCOL,
+    ClearedPart,
     Greeting,
+    LostPrompt,
     Mesh,
+    PartNews,
     RetryUse,
     StoreRecord,
     TargetFailure,
     TargetLeaving,
     TargetPace,
+    TargetRate,
     TopicEra,
     TopicPage,
     TopicRequest,
     TopicUpdate,
+    TrippedPart,
     Update,
     WorkShare,
     compact,
@@ -78,6 +83,23 @@
     retries=(RetryUse(service="pool", requests=10, retries=2),),
     known_offsets={"targets": 9},
     leaving=(TargetLeaving(target_id="i-7f3a91c2", started_ms=1_700_000_000_000),),
+    parts=PartNews(
+        losses=(
+            LostPrompt(
+                target_id="t",
+                request_part="f1",
+                parts=("5a", "bad"),
+                sent_age_s=0.25,
+                lost_age_s=0.001,
+            ),
+        ),
+        opened=(TrippedPart(part="bad", age_s=2.5, probe_in_s=57.5, probe_delay_s=60.0),),
+        cleared=(ClearedPart(part="5a", age_s=0.004),),
+    ),
+    rates=(
+        TargetRate(target_id="t", started_ms=1_700_000_000_000, rate_per_s=1.1, sends=1),
+        TargetRate(target_id="u", started_ms=0),
+    ),
 )
 
 
@@ -88,6 +110,7 @@
 
     def test_all_fields_survive(self):
         self.assertEqual(self.round_trip(FULL_UPDATE), FULL_UPDATE)
+        self.assertEqual(decode(encode(FULL_UPDATE)), FULL_UPDATE)
 
     def test_heartbeat_without_offsets_is_still_a_heartbeat(self):
         for update in (Update(), Update(known_offsets={}), Update(ended=(f"{RUN}-1",))):
