Take a stream without length that ends before its first event for broken off

Callers got an empty stream that looked complete when a target closed its connection after the head of a response without length or chunks, as one that crashes when it begins to write does. The loss was not counted against the target nor the prompt's parts. A response without length ends with its connection, so its end alone proves nothing; a stream that has sent no event has no answer. A resumed stream may be at its end and stay empty.

--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -93,7 +93,9 @@
 
     async def _finish(self, head: ResponseHead) -> AttemptOutcome:
         if self._splitter.has_partial_event:
-            return AttemptOutcome(delivery=Delivery.LOST, reason="stream ended within an event")
+            return _ended_early("stream ended within an event", head)
+        if not head.has_length and not self._has_begun and not self._progress.last_event_id:
+            return _ended_early("connection ended before the first event", head)
         self._on_output()
         await self._start_response(head)
         await self._responder.finish()
@@ -118,6 +120,12 @@
         )
 
 
+def _ended_early(reason: str, head: ResponseHead) -> AttemptOutcome:
+    return AttemptOutcome(
+        delivery=Delivery.LOST, reason=reason, has_head=True, is_disconnected=not head.has_length
+    )
+
+
 def _is_next_event(event_id: bytes, last_event_id: bytes) -> bool:
     """Return whether an event is the next one; always true for ids that are not numbers."""
     if not event_id.isdigit() or not last_event_id.isdigit():
