--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 from bench.soak.client import Answer, Connection
@@ -27,6 +27,8 @@
 IMPATIENT_SHARE = 0.2
 LEAVE_SHARE = 0.06
 SPARE_KEY_SHARE = 0.15
+SUBJECTS = 12
+CRASHING_SHARE = 0.2
 MAX_THOUGHT_S = 0.3
 LONG_THOUGHT_SHARE = 0.05
 
@@ -58,6 +60,7 @@
         entries: The entries.
         seed: Seeds what each caller asks for.
         usable_idle_s: Returns for how long a connection may be unused before it is given up.
+        crashing_parts: The parts of prompts under which targets crash now.
 
     Attributes:
         attempts: All requests that were sent.
@@ -70,12 +73,14 @@
         entries: Sequence[EntryProcess],
         seed: int,
         usable_idle_s: Callable[[], float],
+        crashing_parts: Collection[str],
     ) -> None:
         self.attempts: list[Attempt] = []
         self.strays: list[tuple[int, bytes]] = []
         self._entries = entries
         self._seed = seed
         self._usable_idle_s = usable_idle_s
+        self._crashing_parts = crashing_parts
         self._ids = itertools.count(1)
 
     async def run(self, callers: int, load_s: float) -> None:
@@ -90,6 +95,7 @@
             attempts=self.attempts,
             strays=self.strays,
             usable_idle_s=self._usable_idle_s,
+            crashing_parts=self._crashing_parts,
             ids=self._ids,
         )
         await caller.run(end_s)
@@ -98,13 +104,18 @@
 class _Caller:
     """One caller, with one connection and one request at a time."""
 
-    def __init__(self, *, rng, entries, attempts, strays, usable_idle_s, ids) -> None:
+    def __init__(
+        self, *, rng, entries, attempts, strays, usable_idle_s, crashing_parts, ids
+    ) -> None:
         self._rng = rng
         self._entries = entries
         self._attempts = attempts
         self._strays = strays
         self._usable_idle_s = usable_idle_s
+        self._crashing_parts = crashing_parts
         self._ids = ids
+        # Of its own, so that the other draws of a seed do not depend on the parts of prompts.
+        self._part_rng = random.Random(rng.random())
         self._loop = asyncio.get_running_loop()
         self._connection: Connection | None = None
         self._entry = 0
@@ -169,9 +180,10 @@
             deadline_s=deadline_s,
             idle_s=connection.unused_s(),
             needs_gang=ask.prompt_tokens >= GANG_TOKENS,
+            crashing_part=self._draw_crashing_part(ask),
         )
         self._attempts.append(attempt)
-        connection.start(_render(ask, attempt))
+        connection.start(_render(ask, attempt, f"5b{self._part_rng.randrange(SUBJECTS)}"))
         wait_s = deadline_s - attempt.sent_s + OVERDUE_S if leave_s is None else leave_s
         try:
             async with asyncio.timeout(wait_s):
@@ -182,6 +194,14 @@
         self._finish(attempt, connection.answer)
         return attempt
 
+    def _draw_crashing_part(self, ask: Ask) -> str:
+        """Return a part under which targets crash, for some of the streams while there is one."""
+        if ask.kind != "stream" or not self._crashing_parts:
+            return ""
+        if self._part_rng.random() >= CRASHING_SHARE:
+            return ""
+        return self._part_rng.choice(sorted(self._crashing_parts))
+
     def _finish(self, attempt: Attempt, answer: Answer) -> None:
         attempt.ended_s = self._loop.time()
         attempt.status = answer.status
@@ -218,7 +238,7 @@
         connection.close()
 
 
-def _render(ask: Ask, attempt: Attempt) -> bytes:
+def _render(ask: Ask, attempt: Attempt, subject: str) -> bytes:
     method = "GET" if ask.kind == "safe" else "POST"
     remaining_ms = int((attempt.deadline_s - attempt.sent_s) * 1000)
     lines = [
@@ -230,6 +250,8 @@
     ]
     if ask.kind == "stream":
         lines.append(f"Token-Counts: {ask.prompt_tokens},{OUTPUT_TOKENS}")
+        parts = ("5a", attempt.crashing_part, subject, f"f{attempt.request_id}")
+        lines.append("Prompt-Prefix: " + ",".join(f"{part}:40" for part in parts if part))
     if ask.kind == "safe":
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
     body = f"prompt of {attempt.request_id}"
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,7 +7,7 @@
 
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
 from bench.soak.entries import DRAIN_S, EntryProcess
-from bench.soak.record import Disturbance, Shutdown
+from bench.soak.record import Disturbance, Shutdown, StatedLimit
 from bench.soak.relay import Direction, Relay
 from bench.soak.schedule import Fault, FaultKind
 from bench.soak.system import System
@@ -19,6 +19,7 @@
 REGISTRATION_S = 3.0
 REUSE_S = 2.0
 REFUSED = 503
+LIMITS_PER_S = (b"0", b"0.5", b"1", b"1.2", b"3")
 
 Action = Callable[[System, Fault], Awaitable[None]]
 
@@ -240,6 +241,29 @@
         await _script_target(system, fault, "lose")
 
 
+async def _limit_target(system: System, fault: Fault) -> None:
+    target = system.slots[fault.subject].target
+    if target is None:
+        return
+    target.limit = LIMITS_PER_S[int(fault.at_s * 100) % len(LIMITS_PER_S)]
+    stated = StatedLimit(
+        instance_id=target.instance_id, rate_per_s=float(target.limit), began_s=system.now_s
+    )
+    system.timeline.limits.append(stated)
+    await asyncio.sleep(fault.for_s)
+    target.limit = None
+    stated.ended_s = system.now_s
+
+
+async def _crash_by_prompt(system: System, fault: Fault) -> None:
+    part = f"bad{int(fault.at_s * 100):x}"
+    system.crashing_parts.add(part)
+    await asyncio.sleep(fault.for_s)
+    system.crashing_parts.discard(part)
+    for slot in system.slots:
+        await slot.wait_for_restarts()
+
+
 async def _move_route(system: System, fault: Fault) -> None:
     moved = SERVICES[system.history.newest.moving_service == SERVICES[0]]
     system.change_configuration(moving_service=moved)
@@ -290,6 +314,8 @@
     FaultKind.TARGET_GARBLE: _garble_target,
     FaultKind.TARGET_REFUSES: _refuse_requests,
     FaultKind.TARGET_LOSES_ANSWERS: _lose_answers,
+    FaultKind.TARGET_LIMIT: _limit_target,
+    FaultKind.PROMPT_CRASH: _crash_by_prompt,
     FaultKind.ROUTE_MOVE: _move_route,
     FaultKind.ROUTE_TOGGLE: _toggle_route,
     FaultKind.TIMEOUT_CHANGE: _change_timeout,
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -28,6 +28,7 @@
         is_overdue: Whether the caller left as nothing ended the request in time.
         retry_after_s: The time after which the entry asked the caller to return, if any.
         needs_gang: Whether its prompt is beyond the memory of one engine.
+        crashing_part: The part of its prompt under which targets crash; empty if it is sound.
     """
 
     request_id: str
@@ -47,6 +48,25 @@
     is_overdue: bool = False
     retry_after_s: float | None = None
     needs_gang: bool = False
+    crashing_part: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Crash:
+    """The end of a target under a part of a prompt."""
+
+    part: str
+    at_s: float
+
+
+@dataclass(kw_only=True)
+class StatedLimit:
+    """The time for which a target states the requests a second that it takes."""
+
+    instance_id: str
+    rate_per_s: float
+    began_s: float
+    ended_s: float = NEVER_S
 
 
 @dataclass(kw_only=True)
@@ -77,11 +97,15 @@
         shutdowns: Each SIGTERM of an entry.
         kills: The entry and the time of each SIGKILL.
         freezes: By the number of the entry.
+        crashes: Each end of a target under a part of a prompt.
+        limits: Each limit that a target stated.
     """
 
     shutdowns: list[Shutdown] = field(default_factory=list)
     kills: list[tuple[int, float]] = field(default_factory=list)
     freezes: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    crashes: list[Crash] = field(default_factory=list)
+    limits: list[StatedLimit] = field(default_factory=list)
     _entries: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _targets: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _store: list[Disturbance] = field(default_factory=list)
--- a/bench/soak/system.py
+++ b/bench/soak/system.py
@@ -44,6 +44,7 @@
         self.store = SoakStore()
         self.arrivals: list[Arrival] = []
         self.idle_tickets: list[IdleTicket] = []
+        self.crashing_parts: set[str] = set()
         prefix = _address_prefix()
         self.entries = [
             EntryProcess(
@@ -81,6 +82,7 @@
                 idle_tickets=self.idle_tickets,
                 find_target=self._find_target,
                 call_s=deployment.call_s,
+                crashing_parts=self.crashing_parts,
             )
             for number, service in enumerate(services)
         ]
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -6,13 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bench.soak.record import Timeline
+from bench.soak.record import Crash, Timeline
 from bench.soak.relay import Relay
 from bench.soak.store import SoakStore
 from cicadatiller.ingress import Response
-from tests.support.wire import TargetStandin
+from tests.support.wire import TargetStandin, shared_parts
 
 PORT = 8080
+RESTART_S = 2.5
 SLOTS = 8
 EVENT_GAP_S = 0.1
 STREAM_EVENTS = 12
@@ -202,6 +203,7 @@
         idle_tickets: The reservations that ended at any target.
         find_target: Returns the target that serves at an address, if any.
         call_s: How long it works on a call.
+        crashing_parts: The parts of prompts under which targets crash now.
 
     Attributes:
         left_s: When the store took the news that an instance leaves or is gone, by instance id.
@@ -220,6 +222,7 @@
         idle_tickets: list[IdleTicket],
         find_target: Callable[[str], SoakTarget | None],
         call_s: float,
+        crashing_parts: set[str],
     ) -> None:
         self.number = number
         self.service = service
@@ -231,6 +234,8 @@
         self._idle_tickets = idle_tickets
         self._find_target = find_target
         self._call_s = call_s
+        self._crashing_parts = crashing_parts
+        self._restarts: set[asyncio.Task[None]] = set()
         self._target_host = f"{host_prefix}.{TARGET_OFFSET + number}"
         self._ports = itertools.count(PORT)
         self._names = itertools.count(1)
@@ -258,6 +263,8 @@
         )
         # All instances of a place add to one list.
         target.runs = self.runs
+        target.crashing_parts = self._crashing_parts
+        target.on_crash = self._restart_after_crash
         port = next(self._ports)
         await target.start(self._target_host, port)
         self.relay.target_port = port
@@ -272,6 +279,30 @@
         if self.target is not None:
             self._store.write("keyed.servers", self.target.instance_id, self.target.entry())
 
+    def _restart_after_crash(self, target: SoakTarget) -> None:
+        """Start another instance some time after one has crashed under a part of a prompt."""
+        now_s = asyncio.get_running_loop().time()
+        parts = shared_parts(target.runs[-1].headers)
+        crashed = sorted(self._crashing_parts.intersection(parts))
+        self._timeline.crashes.append(Crash(part=crashed[0], at_s=now_s))
+        task = asyncio.ensure_future(self._restart(target))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, target: SoakTarget) -> None:
+        now_s = asyncio.get_running_loop().time
+        disturbance = self._timeline.disturb_target(self.number, now_s())
+        if self.target is target:
+            await self.crash()
+            await asyncio.sleep(RESTART_S)
+            await self.start()
+            self.unregister(target.instance_id)
+        disturbance.ended_s = now_s()
+
+    async def wait_for_restarts(self) -> None:
+        """Wait until instances that crashed under a part of a prompt were replaced."""
+        await asyncio.gather(*self._restarts)
+
     async def crash(self) -> SoakTarget | None:
         """End the current instance at once; its registration stays."""
         target, self.target = self.target, None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,9 +12,18 @@
 from bench.soak.entries import Exit
 from bench.soak.observations import Observations
 from bench.soak.play import play
-from bench.soak.record import Attempt, Shutdown, Timeline
+from bench.soak.record import Attempt, Crash, Shutdown, StatedLimit, Timeline
 from bench.soak.regressions import load_regressions
-from bench.soak.schedule import OPTIONAL_FAULTS, Deployment, Fault, FaultKind, draw, load, save
+from bench.soak.schedule import (
+    LONG_FAULTS,
+    OPTIONAL_FAULTS,
+    Deployment,
+    Fault,
+    FaultKind,
+    draw,
+    load,
+    save,
+)
 from bench.soak.shrink import shrink
 from bench.soak.targets import STREAM_EVENTS, Arrival, IdleTicket
 from tests.support.gateways import KEY
@@ -257,6 +266,36 @@
                 seen = observations(exits=[ended], timeline=timeline)
                 self.assertEqual(find_violations(seen) == [], is_allowed)
 
+    def crashes(self, count, *, sent_at_s):
+        timeline = Timeline()
+        timeline.crashes += [Crash(part="bad", at_s=90.0 + number) for number in range(count)]
+        attempts = [
+            attempt(request_id=f"a{n}", sent_s=sent_at_s, crashing_part="bad", status=502)
+            for n in range(4)
+        ]
+        arrivals = [arrival(sent_at_s, request_id=one.request_id) for one in attempts]
+        timeline.disturb_target(0, 0.0)
+        return observations(*attempts, runs={}, arrivals=arrivals, timeline=timeline)
+
+    def test_prompts_under_which_five_targets_ended_and_that_are_sent_on_are_found(self):
+        self.assert_broken("crashing_part", self.crashes(5, sent_at_s=100.0))
+        self.assert_kept(self.crashes(4, sent_at_s=100.0))
+        self.assert_kept(self.crashes(5, sent_at_s=97.0))
+
+    def limited(self, rate_per_s):
+        timeline = Timeline()
+        limit = StatedLimit(instance_id="t0-1", rate_per_s=rate_per_s, began_s=90.0)
+        timeline.limits.append(limit)
+        attempts = [
+            attempt(request_id=f"a{n}", sent_s=95.0 + n / 10, body=b"answer to a%d" % n)
+            for n in range(20)
+        ]
+        return observations(*attempts, timeline=timeline)
+
+    def test_more_requests_than_the_stated_rate_allows_are_found(self):
+        self.assert_broken("limit", self.limited(1.0))
+        self.assert_kept(self.limited(5.0))
+
     def test_entry_that_serves_nothing_after_the_last_fault_is_found(self):
         refused = [
             attempt(request_id=f"a{number}", status=503, signature="") for number in range(20)
@@ -276,6 +315,12 @@
         self.assertEqual(draw(7), draw(7))
         self.assertNotEqual(draw(7), draw(8))
 
+    def test_long_faults_leave_the_others_of_a_seed_as_they_are(self):
+        others = frozenset(FaultKind) - OPTIONAL_FAULTS - set(LONG_FAULTS)
+        for seed in range(20):
+            drawn = [f for f in draw(seed).faults if f.kind not in LONG_FAULTS]
+            self.assertEqual(tuple(drawn), draw(seed, kinds=others).faults)
+
     def test_optional_faults_are_not_drawn_unless_asked_for(self):
         drawn = {fault.kind for seed in range(200) for fault in draw(seed).faults}
         self.assertEqual(drawn, set(FaultKind) - OPTIONAL_FAULTS)
