Let entries object before a part of prompts is refused

In a large fleet a wave of unrelated crashes could have refused requests with a common part for a moment: an entry hears of the losses of all others, but sees output only of its own few requests. A breaker now opens 0.5 s after the last loss that it needs, and an entry that saw output of the part since the first loss says so once.

--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -8,6 +8,8 @@
   requests that were lost together count once, and so do those that were sent before the last loss
   that counted: a failure of many targets at once says nothing about a part.
 - Any output of a request clears its parts, as a part that crashes targets does so each time.
+- Before the breaker of a part opens, all entries have time to say that they saw its output: losses
+  are rare and told to all, output is common and told only then.
 - Of several parts with the same evidence the most specific one is taken, and what it explains no
   longer counts against the others.
 """
@@ -22,6 +24,8 @@
 REQUESTS_TO_OPEN = 2
 LOSS_MAX_AGE_S = 600.0
 MAX_LOSSES = 256
+# Longer than news takes to every entry of a large fleet and back.
+OBJECTION_S = 0.5
 MIN_PART_PROBE_DELAY_S = 60.0
 MAX_PART_PROBE_DELAY_S = 3600.0
 # A breaker is forgotten this many probe delays after it might have been probed.
@@ -57,12 +61,14 @@
     Attributes:
         part: The part.
         since_s: When the first request that counts against the part was lost.
+        opens_s: When it opens, unless an entry has seen output of the part since.
         probe_from_s: From then on one request may be sent as a probe.
         probe_delay_s: The time between two probes.
     """
 
     part: str
     since_s: float
+    opens_s: float
     probe_from_s: float
     probe_delay_s: float
 
@@ -79,7 +85,7 @@
         """Handle a loss."""
 
     def part_opened(self, opened: OpenPart) -> None:
-        """Handle a breaker that opened, or whose probe was put off."""
+        """Handle a breaker that opens at its time, or whose probe was put off."""
 
     def part_cleared(self, part: str, cleared_s: float) -> None:
         """Handle the output of a request with a part whose breaker is open here or at a peer."""
@@ -98,10 +104,12 @@
         self._suspects: frozenset[str] = frozenset()
         self._open: dict[str, OpenPart] = {}
         self._cleared_s: OrderedDict[str, float] = OrderedDict()
+        # What of `_cleared_s` the peers have been told.
+        self._told_cleared_s: dict[str, float] = {}
 
     @property
     def open_parts(self) -> tuple[OpenPart, ...]:
-        """Return the open breakers."""
+        """Return the breakers that are open or open soon."""
         return tuple(self._open.values())
 
     @property
@@ -117,7 +125,7 @@
             opened = self._open.get(part)
             if opened is not None and now_s >= opened.forgotten_at_s:
                 del self._open[part]
-            elif opened is not None:
+            elif opened is not None and now_s >= opened.opens_s:
                 return opened
         return None
 
@@ -127,7 +135,7 @@
         self._set_open(replace(opened, probe_from_s=now_s + delay_s, probe_delay_s=delay_s))
 
     def record_loss(self, loss: PromptLoss, now_s: float) -> None:
-        """Record a loss that this entry or a peer saw; open the breaker of a part if it is clear.
+        """Record a loss that this entry or a peer saw; a breaker opens soon if it is the last needed.
 
         Args:
             loss: The loss.
@@ -159,17 +167,18 @@
         self._cleared_s[part] = max(cleared_s, self._cleared_s.get(part, cleared_s))
         self._cleared_s.move_to_end(part)
         if len(self._cleared_s) > MAX_CLEARED_PARTS:
-            self._cleared_s.popitem(last=False)
+            self._told_cleared_s.pop(self._cleared_s.popitem(last=False)[0], None)
         opened = self._open.get(part)
         if opened is not None and cleared_s > opened.since_s:
             del self._open[part]
-            self._listener.part_cleared(part, cleared_s)
+            self._tell_cleared(part, cleared_s)
 
     def record_open(self, opened: OpenPart, now_s: float) -> None:
         """Record a breaker that a peer opened, unless this entry knows that the part is sound."""
         cleared_s = self._cleared_s.get(opened.part)
         if cleared_s is not None and cleared_s > opened.since_s:
-            self._listener.part_cleared(opened.part, cleared_s)
+            if self._told_cleared_s.get(opened.part, float("-inf")) <= opened.since_s:
+                self._tell_cleared(opened.part, cleared_s)
             return
         known = self._open.get(opened.part)
         is_known = known is not None and (
@@ -178,6 +187,10 @@
         if not is_known and now_s < opened.forgotten_at_s:
             self._set_open(opened)
 
+    def _tell_cleared(self, part: str, cleared_s: float) -> None:
+        self._told_cleared_s[part] = cleared_s
+        self._listener.part_cleared(part, cleared_s)
+
     def _set_open(self, opened: OpenPart) -> None:
         self._open[opened.part] = opened
         self._listener.part_opened(opened)
@@ -202,6 +215,7 @@
         opened = OpenPart(
             part=part,
             since_s=evidence[0].lost_s,
+            opens_s=now_s + OBJECTION_S,
             probe_from_s=now_s + MIN_PART_PROBE_DELAY_S,
             probe_delay_s=MIN_PART_PROBE_DELAY_S,
         )
--- a/src/cicadatiller/gateway/_part_exchange.py
+++ b/src/cicadatiller/gateway/_part_exchange.py
@@ -41,14 +41,20 @@
         self._on_pending()
 
     def part_opened(self, opened: OpenPart) -> None:
-        """Announce a breaker that opened, or whose probe was put off."""
+        """Announce a breaker that opens at its time, or whose probe was put off."""
+        self._opened.append(opened)
+        self._on_pending()
+        self._loop.call_at(opened.opens_s, self._end_objections, opened)
+
+    def _end_objections(self, opened: OpenPart) -> None:
+        now_s = self._loop.time()
+        if self.breakers.find_open((opened.part,), now_s) != opened:
+            return
         log_event(
             Event.PART_REFUSED,
             part=opened.part,
-            probe_in_s=round(opened.probe_from_s - self._loop.time(), 3),
+            probe_in_s=round(opened.probe_from_s - now_s, 3),
         )
-        self._opened.append(opened)
-        self._on_pending()
         self._on_opened()
 
     def part_cleared(self, part: str, cleared_s: float) -> None:
@@ -114,6 +120,7 @@
     return TrippedPart(
         part=opened.part,
         age_s=now_s - opened.since_s,
+        opens_in_s=opened.opens_s - now_s,
         probe_in_s=opened.probe_from_s - now_s,
         probe_delay_s=opened.probe_delay_s,
     )
@@ -123,6 +130,7 @@
     return OpenPart(
         part=tripped.part,
         since_s=now_s - tripped.age_s,
+        opens_s=now_s + tripped.opens_in_s,
         probe_from_s=now_s + tripped.probe_in_s,
         probe_delay_s=tripped.probe_delay_s,
     )
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -204,7 +204,13 @@
         for lost in news.losses
     ]
     opened = [
-        [tripped.part, _ms(tripped.age_s), _ms(tripped.probe_in_s), _ms(tripped.probe_delay_s)]
+        [
+            tripped.part,
+            _ms(tripped.age_s),
+            _ms(tripped.opens_in_s),
+            _ms(tripped.probe_in_s),
+            _ms(tripped.probe_delay_s),
+        ]
         for tripped in news.opened
     ]
     return [losses, opened, [[cleared.part, _ms(cleared.age_s)] for cleared in news.cleared]]
@@ -229,8 +235,9 @@
             TrippedPart(
                 part=row[0],
                 age_s=row[1] / MS_PER_S,
-                probe_in_s=row[2] / MS_PER_S,
-                probe_delay_s=row[3] / MS_PER_S,
+                opens_in_s=row[2] / MS_PER_S,
+                probe_in_s=row[3] / MS_PER_S,
+                probe_delay_s=row[4] / MS_PER_S,
             )
             for row in opened
         ),
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -186,12 +186,14 @@
     Attributes:
         part: The part.
         age_s: The time since the first loss that counts against it.
+        opens_in_s: The time until requests with it are refused, for entries to object.
         probe_in_s: The time until a request with it may be sent as a probe.
         probe_delay_s: The time between two probes.
     """
 
     part: str
     age_s: float
+    opens_in_s: float
     probe_in_s: float
     probe_delay_s: float
 
