--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -279,12 +279,11 @@
         if self.target is not None:
             self._store.write("keyed.servers", self.target.instance_id, self.target.entry())
 
-    def _restart_after_crash(self, target: SoakTarget) -> None:
+    def _restart_after_crash(self, target: SoakTarget, headers: dict[str, str]) -> None:
         """Start another instance some time after one has crashed under a part of a prompt."""
         now_s = asyncio.get_running_loop().time()
-        parts = shared_parts(target.runs[-1].headers)
-        crashed = sorted(self._crashing_parts.intersection(parts))
-        self._timeline.crashes.append(Crash(part=crashed[0], at_s=now_s))
+        for part in self._crashing_parts.intersection(shared_parts(headers)):
+            self._timeline.crashes.append(Crash(part=part, at_s=now_s))
         task = asyncio.ensure_future(self._restart(target))
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -181,7 +181,7 @@
         received: The requests of all kinds that reached it, as (loop time, path).
         crashing_parts: The ids of the parts of prompts under which it crashes as it begins to write
             an answer; the last part of a prompt never counts.
-        on_crash: Called with the target once it has crashed.
+        on_crash: Called with the target and the headers of the request once it has crashed.
         script: If set, called with the headers and the number of each request. It returns what
             happens to the request: a status of 400 or more (refused as not run), "blame ADDRESS"
             (refused because of that helper), "unsure" (status 503 without a statement that it did
@@ -211,7 +211,7 @@
         self.report_status = 200
         self.received = []
         self.crashing_parts = frozenset()
-        self.on_crash = lambda target: None
+        self.on_crash = lambda target, headers: None
         self.script = None
         self.request_count = 0
         self.address = ""
@@ -323,7 +323,7 @@
             await self._is_speaking.wait()
             if self.crashing_parts.intersection(shared_parts(headers)):
                 self.stop()
-                self.on_crash(self)
+                self.on_crash(self, headers)
                 return
             response_headers = (
                 (b"Attempt-Id", headers["attempt-id"].encode()),
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -54,7 +54,7 @@
 
     def let_crash(self, fleet, target):
         target.crashing_parts = frozenset({CRASHING_PART})
-        target.on_crash = lambda crashed: self.restart_later(fleet, crashed)
+        target.on_crash = lambda crashed, headers: self.restart_later(fleet, crashed)
 
     def restart_later(self, fleet, target):
         self.crashed_s.append(fleet.loop.time())
