Blame no sound part in a storm in which nothing has output

Callers were refused with parts that every request of their route has, or their subject: when targets ended so fast that no request had output, sound requests that were lost with them counted against their own parts, and the common part explained as much as the bad one. Requests that were lost with a target under an open part are explained by it. A part that had output within ten minutes needs six losses instead of three, and an entry that saw that objects. Of several the one that explains most targets is taken.

--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -7,19 +7,23 @@
 - Evidence against a part is a request that was lost with its target before it had any output. The
   requests that were lost together count once, and so do those that were sent before the last loss
   that counted: a failure of many targets at once says nothing about a part.
-- Any output of a request clears its parts, as a part that crashes targets does so each time.
+- Any output of a request clears its parts, as a part that crashes targets does so each time. One
+  that had output lately needs more evidence than one that never had.
 - Before the breaker of a part opens, all entries have time to say that they saw its output: losses
   are rare and told to all, output is common and told only then.
-- Of several parts with the same evidence the most specific one is taken, and what it explains no
-  longer counts against the others.
+- Of several parts the one is taken that explains the end of most targets, of equals the most
+  specific one. What it explains no longer counts against the others, and neither do the requests
+  that were lost with the same targets.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
 LOSSES_TO_OPEN = 3
+# Of a part that had output within `LOSS_MAX_AGE_S` before.
+LOSSES_TO_OPEN_KNOWN = 6
 # One request may be lost several times by chance, as it is sent again.
 REQUESTS_TO_OPEN = 2
 LOSS_MAX_AGE_S = 600.0
@@ -60,13 +64,15 @@
 
     Attributes:
         part: The part.
-        since_s: When the first request that counts against the part was lost.
+        losses: The number of losses that count against the part.
+        since_s: When the first of them happened.
         opens_s: When it opens, unless an entry has seen output of the part since.
         probe_from_s: From then on one request may be sent as a probe.
         probe_delay_s: The time between two probes.
     """
 
     part: str
+    losses: int
     since_s: float
     opens_s: float
     probe_from_s: float
@@ -101,7 +107,6 @@
     def __init__(self, *, listener: PartListener) -> None:
         self._listener = listener
         self._losses: OrderedDict[tuple[str, str], PromptLoss] = OrderedDict()
-        self._suspects: frozenset[str] = frozenset()
         self._open: dict[str, OpenPart] = {}
         self._cleared_s: OrderedDict[str, float] = OrderedDict()
         # What of `_cleared_s` the peers have been told.
@@ -151,11 +156,8 @@
 
     def record_output(self, parts: Iterable[str], now_s: float) -> None:
         """Record that a request had output, which clears its parts."""
-        if not self._suspects and not self._open:
-            return
         for part in parts:
-            if part in self._suspects or part in self._open:
-                self.record_cleared(part, now_s)
+            self.record_cleared(part, now_s)
 
     def record_cleared(self, part: str, cleared_s: float) -> None:
         """Record that a request with a part had output, here or at a peer.
@@ -169,16 +171,15 @@
         if len(self._cleared_s) > MAX_CLEARED_PARTS:
             self._told_cleared_s.pop(self._cleared_s.popitem(last=False)[0], None)
         opened = self._open.get(part)
-        if opened is not None and cleared_s > opened.since_s:
+        if opened is not None and self._is_cleared(opened):
             del self._open[part]
             self._tell_cleared(part, cleared_s)
 
     def record_open(self, opened: OpenPart, now_s: float) -> None:
         """Record a breaker that a peer opened, unless this entry knows that the part is sound."""
-        cleared_s = self._cleared_s.get(opened.part)
-        if cleared_s is not None and cleared_s > opened.since_s:
+        if self._is_cleared(opened):
             if self._told_cleared_s.get(opened.part, float("-inf")) <= opened.since_s:
-                self._tell_cleared(opened.part, cleared_s)
+                self._tell_cleared(opened.part, self._cleared_s[opened.part])
             return
         known = self._open.get(opened.part)
         is_known = known is not None and (
@@ -187,6 +188,14 @@
         if not is_known and now_s < opened.forgotten_at_s:
             self._set_open(opened)
 
+    def _is_cleared(self, opened: OpenPart) -> bool:
+        """Return whether output of a part outweighs the losses that count against it."""
+        cleared_s = self._cleared_s.get(opened.part)
+        if cleared_s is None:
+            return False
+        is_known = cleared_s > opened.since_s - LOSS_MAX_AGE_S
+        return cleared_s > opened.since_s or (is_known and opened.losses < LOSSES_TO_OPEN_KNOWN)
+
     def _tell_cleared(self, part: str, cleared_s: float) -> None:
         self._told_cleared_s[part] = cleared_s
         self._listener.part_cleared(part, cleared_s)
@@ -199,46 +208,60 @@
         for key, loss in list(self._losses.items()):
             if len(self._losses) > MAX_LOSSES or now_s - loss.lost_s > LOSS_MAX_AGE_S:
                 del self._losses[key]
-        self._suspects = frozenset(part for loss in self._losses.values() for part in loss.parts)
 
     def _open_if_clear(self, loss: PromptLoss, now_s: float) -> None:
         """Open the breaker of the part of a loss that has the most evidence, if that suffices."""
-        if any(part in self._open for part in loss.parts):
-            return
-        counted = {part: list(self._counted_losses(part)) for part in loss.parts}
-        # `max` returns the first of equals, and the most specific part comes last in a prompt.
-        part = max(reversed(loss.parts), key=lambda part: len(counted[part]))
-        evidence = counted[part]
-        requests = {other.request_part for other in self._losses_of(part)}
-        if len(evidence) < LOSSES_TO_OPEN or len(requests) < REQUESTS_TO_OPEN:
+        unexplained = self._unexplained_losses()
+        if loss not in unexplained:
             return
+        best, best_targets = None, 0
+        for part in loss.parts:
+            losses = [other for other in unexplained if self._counts_against(part, other)]
+            targets = len({other.target_id for other in losses})
+            opened = self._judge(part, losses, now_s)
+            # Of equals the last one: the parts of a prompt are in order, common ones first.
+            if opened is not None and targets >= best_targets:
+                best, best_targets = opened, targets
+        if best is not None:
+            self._set_open(best)
+
+    def _unexplained_losses(self) -> list[PromptLoss]:
+        """Return the losses with targets that did not end under a part whose breaker is open."""
+        losses = self._losses.values()
+        explained = {
+            loss.target_id for loss in losses if any(part in self._open for part in loss.parts)
+        }
+        unexplained = [loss for loss in losses if loss.target_id not in explained]
+        return sorted(unexplained, key=lambda loss: loss.lost_s)
+
+    def _counts_against(self, part: str, loss: PromptLoss) -> bool:
+        return part in loss.parts and loss.lost_s > self._cleared_s.get(part, float("-inf"))
+
+    def _judge(self, part: str, losses: list[PromptLoss], now_s: float) -> OpenPart | None:
+        """Return the breaker of a part if some losses suffice to open it; None otherwise."""
+        evidence = _independent(losses)
+        if len(evidence) < LOSSES_TO_OPEN:
+            return None
+        if len({loss.request_part for loss in losses}) < REQUESTS_TO_OPEN:
+            return None
         opened = OpenPart(
             part=part,
+            losses=len(evidence),
             since_s=evidence[0].lost_s,
             opens_s=now_s + OBJECTION_S,
             probe_from_s=now_s + MIN_PART_PROBE_DELAY_S,
             probe_delay_s=MIN_PART_PROBE_DELAY_S,
         )
-        self._set_open(opened)
-
-    def _losses_of(self, part: str) -> list[PromptLoss]:
-        """Return the losses that may be due to a part, in the order in which they happened."""
-        cleared_s = self._cleared_s.get(part, float("-inf"))
-        losses = [
-            loss
-            for loss in self._losses.values()
-            if part in loss.parts
-            and loss.lost_s > cleared_s
-            and not any(other in self._open for other in loss.parts if other != part)
-        ]
-        return sorted(losses, key=lambda loss: loss.lost_s)
-
-    def _counted_losses(self, part: str) -> Iterator[PromptLoss]:
-        """Yield the losses of a part that are independent: each was sent after the one before."""
-        last_lost_s = float("-inf")
-        targets = set()
-        for loss in self._losses_of(part):
-            if loss.sent_s >= last_lost_s and loss.target_id not in targets:
-                last_lost_s = loss.lost_s
-                targets.add(loss.target_id)
-                yield loss
+        return None if self._is_cleared(opened) else opened
+
+
+def _independent(losses: Iterable[PromptLoss]) -> list[PromptLoss]:
+    """Return the losses on different targets of which each was sent after the one before."""
+    independent: list[PromptLoss] = []
+    targets = set()
+    for loss in losses:
+        is_later = not independent or loss.sent_s >= independent[-1].lost_s
+        if is_later and loss.target_id not in targets:
+            independent.append(loss)
+            targets.add(loss.target_id)
+    return independent
--- a/src/cicadatiller/gateway/_part_exchange.py
+++ b/src/cicadatiller/gateway/_part_exchange.py
@@ -119,6 +119,7 @@
 def _to_tripped(opened: OpenPart, now_s: float) -> TrippedPart:
     return TrippedPart(
         part=opened.part,
+        losses=opened.losses,
         age_s=now_s - opened.since_s,
         opens_in_s=opened.opens_s - now_s,
         probe_in_s=opened.probe_from_s - now_s,
@@ -129,6 +130,7 @@
 def _to_open(tripped: TrippedPart, now_s: float) -> OpenPart:
     return OpenPart(
         part=tripped.part,
+        losses=tripped.losses,
         since_s=now_s - tripped.age_s,
         opens_s=now_s + tripped.opens_in_s,
         probe_from_s=now_s + tripped.probe_in_s,
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -210,6 +210,7 @@
             _ms(tripped.opens_in_s),
             _ms(tripped.probe_in_s),
             _ms(tripped.probe_delay_s),
+            tripped.losses,
         ]
         for tripped in news.opened
     ]
@@ -238,6 +239,7 @@
                 opens_in_s=row[2] / MS_PER_S,
                 probe_in_s=row[3] / MS_PER_S,
                 probe_delay_s=row[4] / MS_PER_S,
+                losses=row[5],
             )
             for row in opened
         ),
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -185,13 +185,15 @@
 
     Attributes:
         part: The part.
-        age_s: The time since the first loss that counts against it.
+        losses: The number of losses that count against it.
+        age_s: The time since the first of them.
         opens_in_s: The time until requests with it are refused, for entries to object.
         probe_in_s: The time until a request with it may be sent as a probe.
         probe_delay_s: The time between two probes.
     """
 
     part: str
+    losses: int
     age_s: float
     opens_in_s: float
     probe_in_s: float
