--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -67,8 +67,8 @@
 # Drawn beside the others, by a generator of their own: they last longer than the others.
 LONG_FAULTS = (FaultKind.PROMPT_CRASH, FaultKind.TARGET_LIMIT)
 MAX_LONG_FAULTS = 2
-MIN_LONG_S = 4.0
-MAX_LONG_S = 8.0
+MIN_LONG_S = 8.0
+MAX_LONG_S = 12.0
 # Drawn only if asked for.
 OPTIONAL_FAULTS = frozenset({FaultKind.STORE_OLDER_COPY})
 
@@ -193,7 +193,7 @@
     latest_s = deployment.load_s - HEALTHY_END_S
     for kind in LONG_FAULTS:
         for _ in range(rng.randint(0, MAX_LONG_FAULTS)):
-            at_s = rng.uniform(HEALTHY_START_S, latest_s)
+            at_s = rng.uniform(HEALTHY_START_S, max(HEALTHY_START_S, latest_s - MIN_LONG_S))
             fault = Fault(
                 at_s=round(at_s, 2),
                 kind=kind,
