Ask callers of requests that were held to come back no sooner than they were held

Callers that were refused after a second were asked to come back in 0.15 to 0.22 s, and met the same load: the time came from the median wait of the targets and half the target latency, as only requests without a free slot count as a backlog. What did not end while the request was held will hardly end in less. The new test plays five prompts that would make a far more valuable stream late; it failed before.

--- a/src/cicadatiller/gateway/_retry_after.py
+++ b/src/cicadatiller/gateway/_retry_after.py
@@ -18,7 +18,9 @@
 QUIET_END_JITTER = 0.1
 
 
-def retry_after_s(job: Job, loads: Sequence[TargetLoad], backlog: Backlog, now_s: float) -> float:
+def retry_after_s(
+    job: Job, loads: Sequence[TargetLoad], backlog: Backlog, now_s: float, *, held_s: float
+) -> float:
     """Return the delay after which the caller of a refused request should retry, in seconds.
 
     A backlog's remaining time is unknown, but grows with its age; a caller that retries before its
@@ -29,12 +31,15 @@
         loads: The load of each target of its service.
         backlog: The backlog of its service.
         now_s: The time on the event loop's clock.
+        held_s: For how long the request was held; what did not end within this time will hardly end
+            within a shorter one.
     """
     waits_s = [load.prefill_wait_s(now_s) for load in loads]
     expected_s = max(
         statistics.median(waits_s) if waits_s else NO_TARGET_RETRY_S,
         BACKLOG_AGE_FACTOR * backlog.lasted_s(now_s),
         job.route.target_latency_s / 2,
+        held_s,
     )
     # Without jitter, refused callers would retry at the same time and cause a new burst.
     jittered_s = expected_s * random.uniform(1.0, 1.0 + RETRY_JITTER)
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -300,7 +300,13 @@
         return fail(
             ErrorKind.OVERLOADED,
             f"the targets of service {job.service} are overloaded: {reason}",
-            retry_after_s=retry_after_s(job, loads, self._backlog(waiter), now_s),
+            retry_after_s=retry_after_s(
+                job,
+                loads,
+                self._backlog(waiter),
+                now_s,
+                held_s=now_s - waiter.waiting_since_s,
+            ),
         )
 
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
--- a/tests/test_gateway_scheduler.py
+++ b/tests/test_gateway_scheduler.py
@@ -260,6 +260,38 @@
         self.assertGreater(len(lasting), 50)
         self.assertLess(max(lasting), 0.4)
 
+    def test_prompts_that_were_held_for_the_sake_of_others_come_back_no_sooner(self):
+        async def scenario():
+            scheduler = make_scheduler(targets=1)
+            loop = asyncio.get_running_loop()
+            # A stream that any prefill makes late, and that is worth far more.
+            busy = Work(
+                work_id="busy",
+                owner="g1",
+                target_id="t0",
+                placed_s=loop.time(),
+                context_tokens=100_000,
+                max_gap_s=0.06,
+                worth=500.0,
+                write_s=60.0,
+                has_begun=True,
+            )
+            scheduler._board.add((busy,))
+            refused = []
+
+            async def send_request(number):
+                began_s = loop.time()
+                with self.assertRaises(FailureError) as caught:
+                    await scheduler.acquire(make_job(f"r{number}", tokens=60_000))
+                refused.append((loop.time() - began_s, caught.exception.failure))
+
+            await asyncio.gather(*(send_request(number) for number in range(5)))
+            return refused
+
+        for held_s, failure in self.run_paused(scenario()):
+            self.assertGreater(held_s, 0.2)
+            self.assertGreaterEqual(failure.retry_after_s, held_s - 0.001)
+
     def test_resumed_stream_is_placed_long_after_its_arrival(self):
         async def scenario():
             scheduler = make_scheduler(targets=1)
