Count a lost request against its prompt only if its target ended

Requests could have been refused for a part that is sound: where targets drop idle connections without notice or reset some, a rarely asked part meets one lost connection after the other. The entry now dials the target after such a loss, once for all that it lost, and counts only a target that accepts no connection. Copies of a breaker that many peers send are objected to once.

--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -109,8 +109,8 @@
         self._losses: OrderedDict[tuple[str, str], PromptLoss] = OrderedDict()
         self._open: dict[str, OpenPart] = {}
         self._cleared_s: OrderedDict[str, float] = OrderedDict()
-        # What of `_cleared_s` the peers have been told.
-        self._told_cleared_s: dict[str, float] = {}
+        # The `since_s` of the breaker and the time of the output that the peers were told, by part.
+        self._refuted: dict[str, tuple[float, float]] = {}
 
     @property
     def open_parts(self) -> tuple[OpenPart, ...]:
@@ -169,17 +169,16 @@
         self._cleared_s[part] = max(cleared_s, self._cleared_s.get(part, cleared_s))
         self._cleared_s.move_to_end(part)
         if len(self._cleared_s) > MAX_CLEARED_PARTS:
-            self._told_cleared_s.pop(self._cleared_s.popitem(last=False)[0], None)
+            self._refuted.pop(self._cleared_s.popitem(last=False)[0], None)
         opened = self._open.get(part)
         if opened is not None and self._is_cleared(opened):
             del self._open[part]
-            self._tell_cleared(part, cleared_s)
+            self._refute(opened)
 
     def record_open(self, opened: OpenPart, now_s: float) -> None:
         """Record a breaker that a peer opened, unless this entry knows that the part is sound."""
         if self._is_cleared(opened):
-            if self._told_cleared_s.get(opened.part, float("-inf")) <= opened.since_s:
-                self._tell_cleared(opened.part, self._cleared_s[opened.part])
+            self._refute(opened)
             return
         known = self._open.get(opened.part)
         is_known = known is not None and (
@@ -196,9 +195,15 @@
         is_known = cleared_s > opened.since_s - LOSS_MAX_AGE_S
         return cleared_s > opened.since_s or (is_known and opened.losses < LOSSES_TO_OPEN_KNOWN)
 
-    def _tell_cleared(self, part: str, cleared_s: float) -> None:
-        self._told_cleared_s[part] = cleared_s
-        self._listener.part_cleared(part, cleared_s)
+    def _refute(self, opened: OpenPart) -> None:
+        """Tell the peers that a part had output, once for all copies of a breaker that they send."""
+        cleared_s = self._cleared_s[opened.part]
+        since_s, told_s = self._refuted.get(opened.part, (float("-inf"), float("-inf")))
+        is_same_breaker = abs(opened.since_s - since_s) <= TIME_TOLERANCE_S
+        if is_same_breaker and cleared_s <= told_s + TIME_TOLERANCE_S:
+            return
+        self._refuted[opened.part] = (opened.since_s, cleared_s)
+        self._listener.part_cleared(opened.part, cleared_s)
 
     def _set_open(self, opened: OpenPart) -> None:
         self._open[opened.part] = opened
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -17,6 +17,7 @@
 from ._candidates import CandidateTargets
 from ._clock import ClockWatch, boot_clock_s
 from ._contention import Contention
+from ._crash_check import CrashCheck
 from ._exposition import Exposition
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
@@ -131,6 +132,8 @@
             name=node.name,
             breakers=self.peer_sync.parts.breakers,
             entries=lambda: self._subset.entries,
+            crashes=CrashCheck(pool=pool),
+            tasks=self._tasks,
         )
         self._membership = self._make_membership(log)
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
--- a/src/cicadatiller/gateway/_prompt_guard.py
+++ b/src/cicadatiller/gateway/_prompt_guard.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from ..fleet import OpenPart, PartBreakers, PromptLoss
-from ..kernel import ErrorKind, FailureError, fail, rendezvous_weight
+from ..fleet import OpenPart, PartBreakers, PromptLoss, Target
+from ..kernel import ErrorKind, FailureError, TaskSet, fail, rendezvous_weight
 from ._attempt import Attempt
+from ._crash_check import CrashCheck
 from ._job import Job
 from ._outcomes import AttemptOutcome
 from ._progress import Progress
@@ -21,14 +22,24 @@
         name: This entry's name.
         breakers: The breakers of the parts.
         entries: Returns the names of all entries, of which one sends the probes of a part.
+        crashes: Tells whether a target ended.
+        tasks: Runs these checks.
     """
 
     def __init__(
-        self, *, name: str, breakers: PartBreakers, entries: Callable[[], Iterable[str]]
+        self,
+        *,
+        name: str,
+        breakers: PartBreakers,
+        entries: Callable[[], Iterable[str]],
+        crashes: CrashCheck,
+        tasks: TaskSet,
     ) -> None:
         self._name = name
         self._breakers = breakers
         self._entries = entries
+        self._crashes = crashes
+        self._tasks = tasks
         self._loop = asyncio.get_running_loop()
 
     def check(self, job: Job, progress: Progress) -> None:
@@ -60,20 +71,24 @@
     def record_failure(
         self, job: Job, progress: Progress, attempt: Attempt, outcome: AttemptOutcome
     ) -> None:
-        """Record a failed attempt; only one whose connection ended before any output counts."""
+        """Record a failed attempt; only one whose target ended before any output counts."""
         if not outcome.is_disconnected or not job.shared_parts:
             return
         if progress.last_event_id or progress.first_output_s is not None:
             return
-        now_s = self._loop.time()
+        host = attempt.grant.host
         loss = PromptLoss(
-            target_id=attempt.grant.host.instance_id,
+            target_id=host.instance_id,
             request_part=job.fields.prompt_parts[-1],
             parts=job.shared_parts,
             sent_s=attempt.began_s,
-            lost_s=now_s,
+            lost_s=self._loop.time(),
         )
-        self._breakers.record_loss(loss, now_s)
+        self._tasks.start(self._record_if_ended(host, loss), name=f"check {host.instance_id}")
+
+    async def _record_if_ended(self, target: Target, loss: PromptLoss) -> None:
+        if await self._crashes.has_ended(target):
+            self._breakers.record_loss(loss, self._loop.time())
 
     def _may_probe(self, opened: OpenPart) -> bool:
         if self._loop.time() < opened.probe_from_s:
--- a/tests/test_part_breakers.py
+++ b/tests/test_part_breakers.py
@@ -191,6 +191,26 @@
         self.open_part(now_s=1.0)
         self.assertEqual((self.open_parts(), self.recorder.cleared), ([], [CRASHING]))
 
+    def test_copies_of_one_breaker_are_objected_to_once_and_newer_output_again(self):
+        def open_part():
+            opened = OpenPart(
+                part=COMMON,
+                losses=LOSSES_TO_OPEN,
+                since_s=1.0,
+                opens_s=3.0,
+                probe_from_s=60.0,
+                probe_delay_s=60.0,
+            )
+            self.breakers.record_open(opened, 3.0)
+
+        told = []
+        for output_s in (0.5, 2.0, 2.001):
+            self.breakers.record_output((COMMON,), output_s)
+            open_part()
+            open_part()
+            told.append(len(self.recorder.cleared))
+        self.assertEqual((told, self.open_parts()), ([1, 2, 2], []))
+
     def test_part_that_began_to_crash_targets_later_is_refused_all_the_same(self):
         self.lose(1.0, *PARTS)
         self.breakers.record_output(PARTS, 2.0)
