Hold the requests of a part while entries may object to its refusal

A request that had just lost its target was sent to the next one before the loss was checked and told, and so were others with the part in the half second for objections: each ended a target more. A lost request now waits up to 50 ms for the check, and requests with a part under objection wait for its end.

--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -134,6 +134,11 @@
                 return opened
         return None
 
+    def objections_end_s(self, parts: Iterable[str], now_s: float) -> float:
+        """Return when it is known whether breakers of a prompt open; `now_s` if none may soon."""
+        pending = (self._open[part].opens_s for part in parts if part in self._open)
+        return max(now_s, max(pending, default=now_s))
+
     def start_probe(self, opened: OpenPart, now_s: float) -> None:
         """Put off the next probe of a part, as one request with it is sent now."""
         delay_s = min(MAX_PART_PROBE_DELAY_S, 2 * opened.probe_delay_s)
--- a/src/cicadatiller/gateway/_progress.py
+++ b/src/cicadatiller/gateway/_progress.py
@@ -1,5 +1,6 @@
 """State of a request across its attempts."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 
@@ -18,6 +19,8 @@
             the queue.
         first_output_s: Loop time at which the first event, or the whole response of a plain
             service, arrived; None until then.
+        loss_check: Checks whether the target ended with which the request was lost last, without
+            any output; None if it was not.
         probed_part: The part of the prompt that it probes; empty if it is no probe.
     """
 
@@ -29,4 +32,5 @@
     waited_s: float = 0.0
     added_s: float = 0.0
     first_output_s: float | None = None
+    loss_check: asyncio.Task[None] | None = None
     probed_part: str = ""
--- a/src/cicadatiller/gateway/_prompt_guard.py
+++ b/src/cicadatiller/gateway/_prompt_guard.py
@@ -13,6 +13,8 @@
 
 # Of requests that come after a probe is due, at an entry that does not send it.
 MIN_RETRY_AFTER_S = 1.0
+# A target that ended refuses connections at once; one that can't be reached is not waited for.
+MAX_CHECK_WAIT_S = 0.05
 
 
 class PromptGuard:
@@ -42,12 +44,21 @@
         self._tasks = tasks
         self._loop = asyncio.get_running_loop()
 
-    def check(self, job: Job, progress: Progress) -> None:
+    async def admit(self, job: Job, progress: Progress) -> None:
         """Check that a request may be sent to a target; one of them may be sent as a probe.
 
+        A request that was lost waits for the check of its target, and while entries may still
+        object to a breaker, its requests wait.
+
         Raises:
             FailureError: If targets crash under a part of its prompt.
         """
+        if progress.loss_check is not None:
+            await asyncio.wait({progress.loss_check}, timeout=MAX_CHECK_WAIT_S)
+        now_s = self._loop.time()
+        known_at_s = self._breakers.objections_end_s(job.shared_parts, now_s)
+        if known_at_s > now_s:
+            await asyncio.sleep(known_at_s - now_s)
         opened = self._breakers.find_open(job.shared_parts, self._loop.time())
         if opened is None:
             return
@@ -84,7 +95,8 @@
             sent_s=attempt.began_s,
             lost_s=self._loop.time(),
         )
-        self._tasks.start(self._record_if_ended(host, loss), name=f"check {host.instance_id}")
+        check = self._record_if_ended(host, loss)
+        progress.loss_check = self._tasks.start(check, name=f"check {host.instance_id}")
 
     async def _record_if_ended(self, target: Target, loss: PromptLoss) -> None:
         if await self._crashes.has_ended(target):
--- a/src/cicadatiller/gateway/_request_forwarding.py
+++ b/src/cicadatiller/gateway/_request_forwarding.py
@@ -113,7 +113,7 @@
         """
         if delay_s:
             await asyncio.sleep(delay_s)
-        self._services.prompts.check(self._job, self._progress)
+        await self._services.prompts.admit(self._job, self._progress)
         began_s = self._loop.time()
         try:
             grant = await self._scheduler.acquire(
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -114,3 +114,24 @@
         )
         self.assertEqual((crashes, {reply.status for reply in replies}), (0, {503}))
         self.assertTrue(all(float(reply.headers["retry-after"]) > 0 for reply in replies))
+
+    def test_requests_wait_while_entries_may_object_to_their_refusal(self):
+        async def scenario(fleet):
+            parts = fleet.gateways[0].peer_sync.parts
+            for target in fleet.targets.values():
+                self.let_crash(fleet, target)
+            self.rng, self.crashed_s = random.Random(1), []
+            for _ in range(2):
+                await self.send(fleet, 0, CRASHING_PART)
+            before = len(self.crashed_s)
+            opens_s = parts.breakers.open_parts[0].opens_s
+            asking = [self.send(fleet, 0, CRASHING_PART) for _ in range(5)]
+            replies = await asyncio.gather(*asking)
+            return replies, before, len(self.crashed_s), opens_s - fleet.loop.time()
+
+        replies, before, after, left_s = self.run_scenario(
+            scenario, entries=1, targets=TARGETS, config=configuration(3, routes=ROUTES)
+        )
+        self.assertEqual((before, after), (3, 3))
+        self.assertEqual({reply.status for reply in replies}, {503})
+        self.assertLessEqual(left_s, 0.0)
