--- a/src/cicadatiller/fleet/_availability.py
+++ b/src/cicadatiller/fleet/_availability.py
@@ -2,8 +2,9 @@
 
 Two kinds of reasons keep new work from a target. What the target states is binding: one that leaves
 gets none, one that asked this entry for no requests gets none until the end of that time, and one
-that states a rate gets no more than that from all entries together. What this entry observes, by the circuit breaker, is a preference: ejected targets are used again if too
-many of a pool are ejected. `select_usable` applies both, the binding one first.
+that states a rate gets no more than that from all entries together. What this entry observes, by
+the circuit breaker, is a preference: ejected targets are used again if too many of a pool are
+ejected. `select_usable` applies both, the binding one first.
 """
 
 import math
--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -145,7 +145,7 @@
         self._set_open(replace(opened, probe_from_s=now_s + delay_s, probe_delay_s=delay_s))
 
     def record_loss(self, loss: PromptLoss, now_s: float) -> None:
-        """Record a loss that this entry or a peer saw; a breaker opens soon if it is the last needed.
+        """Record a loss that this entry or a peer saw, after which a breaker may open soon.
 
         Args:
             loss: The loss.
@@ -201,7 +201,7 @@
         return cleared_s > opened.since_s or (is_known and opened.losses < LOSSES_TO_OPEN_KNOWN)
 
     def _refute(self, opened: OpenPart) -> None:
-        """Tell the peers that a part had output, once for all copies of a breaker that they send."""
+        """Tell the peers that a part had output, once for all copies of a breaker."""
         cleared_s = self._cleared_s[opened.part]
         since_s, told_s = self._refuted.get(opened.part, (float("-inf"), float("-inf")))
         is_same_breaker = abs(opened.since_s - since_s) <= TIME_TOLERANCE_S
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -19,6 +19,7 @@
 from ._contention import Contention
 from ._crash_check import CrashCheck
 from ._exposition import Exposition
+from ._figures import FiguresLog
 from ._followers import TopicFollower
 from ._forwarder import Forwarder
 from ._handler import RequestHandler
@@ -51,7 +52,6 @@
 # Peers announce how many registrations of entries they have read, so that few reads are needed.
 MEMBERS_READ_INTERVAL_S = 60.0
 SWEEP_INTERVAL_S = 1.0
-FIGURES_INTERVAL_S = 10.0
 # After a cut that lasted so long that both sides gave up their links, they are dialled again.
 PEER_SELECTION_INTERVAL_S = 30.0
 # Of the time for which a leaving target may still receive requests; leaves room for a failed read.
@@ -112,7 +112,7 @@
         self._metrics = GatewayMetrics()
         self._stall = StallWatch()
         self._synced = asyncio.Event()
-        self._next_figures_s = self._loop.time() + FIGURES_INTERVAL_S
+        self._figures = FiguresLog(metrics=self._metrics, gauges=self._gauges)
         self._ends_at_s = math.inf
         self._clock = ClockWatch(loop_time_s=self._loop.time, boot_time_s=boot_time_s)
         self._configuration = ConfigurationSink(decoder=decoder, on_change=self._apply_limits)
@@ -248,7 +248,7 @@
             self._pool.close_expired()
             self._notices.close_idle()
             self._share_rates()
-            self._log_figures()
+            self._figures.log_if_due()
             if self._loop.time() >= next_selection_s:
                 next_selection_s += PEER_SELECTION_INTERVAL_S
                 self._on_members_change()
@@ -258,20 +258,6 @@
                 for follower in self._followers.values():
                     follower.read_soon()
 
-    def _log_figures(self) -> None:
-        now_s = self._loop.time()
-        if now_s < self._next_figures_s:
-            return
-        self._next_figures_s = now_s + FIGURES_INTERVAL_S
-        added = self._metrics.added_us
-        log_event(
-            Event.FIGURES,
-            added_p50_ms=added.get_value_at_percentile(50) / 1000,
-            added_p95_ms=added.get_value_at_percentile(95) / 1000,
-            added_count=added.get_total_count(),
-            **self._gauges(),
-        )
-
     def _make_followers(
         self, log: KeyedLog, decoder: DocumentDecoder
     ) -> dict[Topic, TopicFollower]:
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -22,7 +22,7 @@
 
 
 class CrashingPartCase(GatewayCase):
-    """Plays sound requests at all entries, and beside them some with a part that crashes targets."""
+    """Plays sound requests at all entries, and some with a part that crashes targets."""
 
     async def play(self, fleet, duration_s, *, seed=1, entries=ENTRIES, crashing_from_s=1.0):
         """Send requests for a time; return the replies to the sound ones and to the others."""
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -10,7 +10,7 @@
 
 ENTRIES = 4
 INTERVAL_S = 0.05
-# The users' rule: what reaches a target in some window, from the time on in which entries hear of it.
+# The users' rule for what reaches a target in some window, once entries have heard of its limit.
 WINDOW_S = 4.0
 EXCESS = 1.5
 SLACK = 5
