Tell all entries of a large fleet that a target limits its requests

A target in need got a request of each entry that did not know of its limit: the entry that read the statement told its own peers only, 14 at most, and small pools are used by all. Whoever learns that a limit began now tells its peers, too. Changes and the end go one step, as contradicting values could overtake each other for ever.

--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from ..channels import Transport
 from ..fleet import UNSTATED_ERA, KeyedPage, KeyedRecord, Target, TargetDirectory, Topic
@@ -303,8 +304,13 @@
         if availability is None:
             return
         rate_per_s = math.inf if stated.rate_per_s is None else stated.rate_per_s
+        was_limited = availability.rate.is_limited
         if availability.rate.record(rate_per_s, now_s):
             log_rate(stated.target_id, rate_per_s, source=name)
+            # Only that a limit began goes further, as that alone can't contradict itself on its way.
+            if not was_limited:
+                self._pending_rates.append(replace(stated, sends=0))
+                self._schedule_flush()
         for _ in range(stated.sends):
             availability.rate.record_send(now_s)
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -9,6 +9,7 @@
 CRASHING_PART = "bad0"
 TARGETS = ("engines",) * 12
 ENTRIES = 4
+LARGE = 24
 # How long a crashed target is away, and how long the store still lists it.
 RESTART_S = 4.0
 LISTED_S = 2.0
@@ -99,6 +100,26 @@
         self.assertGreater(len(crashing), 20)
         self.assertLessEqual(later_sends, MAX_LATER_SENDS, self.crashed_s)
 
+    def test_all_entries_of_a_larger_fleet_know_the_part_though_each_has_few_peers(self):
+        async def scenario(fleet):
+            sound, _ = await self.play(fleet, 8.0, entries=LARGE)
+            known = [
+                {opened.part for opened in gateway.peer_sync.parts.breakers.open_parts}
+                for gateway in fleet.gateways
+            ]
+            return sound, known, self.sends_after_limit(fleet)
+
+        sound, known, later_sends = self.run_scenario(
+            scenario,
+            entries=LARGE,
+            targets=TARGETS * 2,
+            config=configuration(3, routes=ROUTES),
+            settle_s=4.0,
+        )
+        self.assert_mostly_served(sound)
+        self.assertEqual(known, [{CRASHING_PART}] * LARGE)
+        self.assertLessEqual(later_sends, MAX_LATER_SENDS)
+
     def test_entry_that_starts_later_knows_the_part(self):
         async def scenario(fleet):
             await self.play(fleet, 6.0)
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -9,6 +9,7 @@
 from .support.gateways import GatewayCase, configuration, route
 
 ENTRIES = 4
+LARGE = 48
 INTERVAL_S = 0.05
 # The users' rule for what reaches a target in some window, once entries have heard of its limit.
 WINDOW_S = 4.0
@@ -98,6 +99,27 @@
         self.assert_within(1.0, self.run_scenario(scenario, entries=ENTRIES, targets=("pool",) * 3))
 
 
+class LargeFleetTest(LimitCase):
+    def test_limit_reaches_entries_that_are_not_linked_to_the_one_that_was_told(self):
+        async def scenario(fleet):
+            limited = fleet.targets["t-1"]
+            limited.limit = b"1"
+            await asyncio.gather(*(fleet.ask() for _ in range(12)))
+            peers = fleet.gateways[0].peer_sync.mesh.connected_peers
+            await asyncio.sleep(0.5)
+            since_s = fleet.loop.time()
+            # One request or more of each entry would reach the target if it did not know.
+            replies = await self.load(fleet, "safe", 4.0, entries=LARGE, interval_s=0.02)
+            return replies, len(peers), len(self.received_since(limited, since_s))
+
+        replies, peers, received = self.run_scenario(
+            scenario, entries=LARGE, targets=("pool",) * 2, settle_s=9.0
+        )
+        self.assert_served(replies)
+        self.assertLess(peers, LARGE - 1)
+        self.assertLessEqual(received, EXCESS * WINDOW_S + SLACK)
+
+
 class LentRateTest(LimitCase):
     def test_entry_may_use_what_the_others_do_not(self):
         async def scenario(fleet):
