Do not refuse the probe of a part while it waits for a slot

The one request that may show that a part is sound again was refused when it had to wait: putting off the next probe was told like a breaker that opens, upon which all waiting requests with the part are refused, and the next probe came after twice the time. The new test failed before.

--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -78,6 +78,11 @@
     probe_from_s: float
     probe_delay_s: float
 
+    @property
+    def was_probed(self) -> bool:
+        """Return whether a probe was sent, so that all entries know the breaker already."""
+        return self.probe_delay_s > MIN_PART_PROBE_DELAY_S
+
     @property
     def forgotten_at_s(self) -> float:
         """Return when the breaker is forgotten if no request has the part."""
--- a/src/cicadatiller/gateway/_part_exchange.py
+++ b/src/cicadatiller/gateway/_part_exchange.py
@@ -44,7 +44,9 @@
         """Announce a breaker that opens at its time, or whose probe was put off."""
         self._opened.append(opened)
         self._on_pending()
-        self._loop.call_at(opened.opens_s, self._end_objections, opened)
+        # The probe may be among the waiting requests.
+        if not opened.was_probed:
+            self._loop.call_at(opened.opens_s, self._end_objections, opened)
 
     def _end_objections(self, opened: OpenPart) -> None:
         now_s = self._loop.time()
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from cicadatiller.fleet import OpenPart
+
 from .support.gateways import GatewayCase, configuration, route
 from .support.wire import shared_parts
 
@@ -20,6 +22,7 @@
 SOUND_INTERVAL_S = 0.06
 CRASHING_INTERVAL_S = 0.6
 ROUTES = [route("stream", max_attempts=2)]
+PATIENT_ROUTES = [route("stream", max_attempts=2, target_latency_ms=3000)]
 
 
 class CrashingPartCase(GatewayCase):
@@ -156,3 +159,34 @@
         self.assertEqual((before, after), (3, 3))
         self.assertEqual({reply.status for reply in replies}, {503})
         self.assertLessEqual(left_s, 0.0)
+
+    def test_probe_that_has_to_wait_for_a_slot_is_sent_all_the_same(self):
+        async def scenario(fleet):
+            breakers = fleet.gateways[0].peer_sync.parts.breakers
+            now_s = fleet.loop.time()
+            opened = OpenPart(
+                part=CRASHING_PART,
+                losses=6,
+                since_s=now_s,
+                opens_s=now_s,
+                probe_from_s=now_s + 1.0,
+                probe_delay_s=60.0,
+            )
+            breakers.record_open(opened, now_s)
+            self.rng = random.Random(1)
+            refused = await self.send(fleet, 0, CRASHING_PART)
+            await asyncio.sleep(1.5)
+            fleet.targets["t-1"].gap_s = 0.12
+            busy = [self.send(fleet, 0) for _ in range(8)]
+            await asyncio.sleep(0.2)
+            probe = await self.send(fleet, 0, CRASHING_PART)
+            await asyncio.gather(*busy)
+            return refused.status, probe.status, breakers.open_parts
+
+        refused, probe, still_open = self.run_scenario(
+            scenario,
+            entries=1,
+            targets=("engines",),
+            config=configuration(3, routes=PATIENT_ROUTES),
+        )
+        self.assertEqual((refused, probe, still_open), (503, 200, ()))
