--- a/src/cicadatiller/gateway/_target_notices.py
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -34,7 +34,7 @@
 def log_rate(instance_id: str, rate_per_s: float, *, source: str) -> None:
     """Log the rate that a target takes; `source` is where this entry learnt it."""
     shown = rate_per_s if rate_per_s < math.inf else None
-    log_event(Event.TARGET_LIMITED, target=instance_id, limit_per_s=shown, source=source)
+    log_event(Event.TARGET_LIMITED, target=instance_id, rate_per_s=shown, source=source)
 
 
 class TargetNotices:
@@ -90,7 +90,7 @@
         target = self._directory.find_at(address)
         if target is None:
             return
-        is_limited = notice.limit_per_s not in (None, math.inf)
+        is_limited = notice.rate_per_s not in (None, math.inf)
         now_s = self._loop.time()
         self._apply(target, notice, sent_s=now_s if is_limited else -math.inf)
         if is_limited:
@@ -127,8 +127,8 @@
             self._record_leaving(target)
         if notice.quiet_s > 0:
             self._record_quiet(target, notice.quiet_s)
-        if notice.limit_per_s is not None:
-            self._record_rate(target, notice.limit_per_s, sent_s)
+        if notice.rate_per_s is not None:
+            self._record_rate(target, notice.rate_per_s, sent_s)
 
     def _record_rate(self, target: Target, rate_per_s: float, sent_s: float) -> None:
         if not target.availability.rate.record(rate_per_s, self._loop.time(), sent_s=sent_s):
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -62,18 +62,18 @@
     Attributes:
         is_leaving: Whether it leaves and wants no new work.
         quiet_s: The time for which it wants no request from this entry; 0 if it states none.
-        limit_per_s: The requests a second that it takes from all entries together; infinite if it
+        rate_per_s: The requests a second that it takes from all entries together; infinite if it
             states no limit, None if it states one that can't be read.
     """
 
     is_leaving: bool = False
     quiet_s: float = 0.0
-    limit_per_s: float | None = math.inf
+    rate_per_s: float | None = math.inf
 
     @property
     def is_empty(self) -> bool:
         """Return whether the response states nothing."""
-        return not self.is_leaving and self.quiet_s <= 0 and self.limit_per_s == math.inf
+        return not self.is_leaving and self.quiet_s <= 0 and self.rate_per_s == math.inf
 
 
 class WireCodec(Protocol):
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -126,7 +126,7 @@
         return TargetNotice(
             is_leaving=(head.find(LEAVING) or b"").strip() == LEAVING_VALUE,
             quiet_s=_parse_quiet_s(head),
-            limit_per_s=_parse_limit(head),
+            rate_per_s=_parse_rate(head),
         )
 
     def blamed_address(self, head: ResponseHead) -> str:
@@ -173,8 +173,8 @@
     return float(value)
 
 
-def _parse_limit(head: ResponseHead) -> float | None:
-    """Return the stated limit; infinite if there is none, None if it is no plain number."""
+def _parse_rate(head: ResponseHead) -> float | None:
+    """Return the stated rate; infinite if there is none, None if it is no plain number."""
     value = head.find(LIMIT)
     if value is None:
         return math.inf
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -317,7 +317,7 @@
         def limit(*values):
             headers = tuple((b"Server-Limit", value) for value in values)
             head = ResponseHead(status=200, headers=headers, has_length=True)
-            return PlatformHeaders().decode_notice(head).limit_per_s
+            return PlatformHeaders().decode_notice(head).rate_per_s
 
         self.assertEqual([limit(b"1.1"), limit(b" 20 "), limit(b"0")], [1.1, 20.0, 0.0])
         self.assertEqual(limit(), math.inf)
