--- a/src/cicadatiller/placement/_verdict.py
+++ b/src/cicadatiller/placement/_verdict.py
@@ -15,9 +15,6 @@
 # A prompt is refused if the expected time to its first event reaches this share of the time until
 # its caller leaves. The estimate is too uncertain to use more of that time.
 MAX_PATIENCE_SHARE = 0.6
-# From this share on a prompt is placed if its value allows it: it would soon be refused for having
-# waited.
-LAST_CHANCE_SHARE = 0.5
 # Prefill costs nothing while it takes less than `FREE_PREFILL_LOAD` of the targets' time. Above,
 # the cost in worth of a second of prefill is `PREFILL_PRICE` times the excess. From
 # `FULL_PREFILL_LOAD` on, prefill demand exceeds the capacity.
@@ -58,10 +55,8 @@
     loss = placement.loss_to_others + prefill_cost
     if loss <= MAX_LOSS_PER_GAIN * gain + MAX_LOSS_PER_WORTH * prompt.worth:
         return Verdict.PLACE
-    is_acceptable = loss <= gain + LATE_VALUE_SHARE * prompt.worth
     # A late prompt gains nothing by waiting while prefill demand exceeds the capacity.
     waiting_is_futile = prompt.due_in_s <= 0 and demand.prefill_load > FULL_PREFILL_LOAD
-    if must_decide or waiting_is_futile:
-        return Verdict.PLACE if is_acceptable else Verdict.REFUSE
-    is_last_chance = placement.first_event_in_s >= LAST_CHANCE_SHARE * prompt.caller_leaves_in_s
-    return Verdict.PLACE if is_last_chance and is_acceptable else Verdict.WAIT
+    if not must_decide and not waiting_is_futile:
+        return Verdict.WAIT
+    return Verdict.PLACE if loss <= gain + LATE_VALUE_SHARE * prompt.worth else Verdict.REFUSE
