--- a/src/cicadatiller/fleet/_part_breakers.py
+++ b/src/cicadatiller/fleet/_part_breakers.py
@@ -10,7 +10,7 @@
 - Any output of a request clears its parts, as a part that crashes targets does so each time. One
   that had output lately needs more evidence than one that never had.
 - Before the breaker of a part opens, all entries have time to say that they saw its output: losses
-  are rare and told to all, output is common and told only then.
+  are rare and sent to all, output is common and sent only then.
 - Of several parts the one is taken that explains the end of most targets, of equals the most
   specific one. What it explains no longer counts against the others, and neither do the requests
   that were lost with the same targets.
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -307,7 +307,8 @@
         was_limited = availability.rate.is_limited
         if availability.rate.record(rate_per_s, now_s):
             log_rate(stated.target_id, rate_per_s, source=name)
-            # Only that a limit began goes further, as that alone can't contradict itself on its way.
+            # Only the beginning of a limit is passed on: two contradicting values could be passed
+            # around the ring without end.
             if not was_limited:
                 self._pending_rates.append(replace(stated, sends=0))
                 self._schedule_flush()
