Callers: a close is seen while requests are handled; limits in force at each request

Cause: a body over 256 KiB paused reading until its response, and a paused connection does not read its end; limits were taken at the open and after each response. Change: reading goes on while a request is handled and pauses for requests sent ahead only; while paused, POLLRDHUP is looked at every 0.2 s. The parser takes the limits in force at the begin of each request. Before: the new tests fail (no cancel within 1 s; 413 by the old limit). After: they pass.

--- a/bench/fingerprint_cost.py
+++ b/bench/fingerprint_cost.py
@@ -59,7 +59,7 @@
 
 def measure_account_us(prompt_parts: tuple[str, ...]) -> float:
     """Return the least processor time of a request's fingerprints, apart from its body's hash."""
-    (request,) = RequestParser(limits=LIMITS).feed(REQUEST, 0.0)
+    (request,) = RequestParser(limits=lambda: LIMITS).feed(REQUEST, 0.0)
     breakers = FingerprintBreakers(listener=_Listener())
     return _least_us(lambda: _account(request, breakers, prompt_parts))
 
@@ -124,7 +124,7 @@
         request=PARTS[-1],
         fingerprints=tuple(
             fingerprints(
-                RequestParser(limits=LIMITS).feed(REQUEST, 0.0)[0],
+                RequestParser(limits=lambda: LIMITS).feed(REQUEST, 0.0)[0],
                 host="n",
                 workspace="reef",
                 prompt_parts=PARTS,
--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import select
 import socket
 import struct
 from collections import deque
@@ -27,6 +28,8 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 BODY_TIMEOUT_S = 10.0
 LINGER_S = 0.2
+# While reading is paused the end of a connection isn't read, and is looked for in this interval.
+CLOSE_CHECK_INTERVAL_S = 0.2
 # Values of SO_LINGER: whether it is on, and for how many seconds.
 CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
@@ -106,7 +109,7 @@
         self._on_open = on_open
         self._on_close = on_close
         self._loop = asyncio.get_running_loop()
-        self._parser = RequestParser(limits=limits())
+        self._parser = RequestParser(limits=limits)
         self._pending: deque[Request] = deque()
         self._wake = asyncio.Event()
         self._writable = asyncio.Event()
@@ -116,6 +119,7 @@
         self._wait: _Wait | None = None
         self._waiting_since_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._close_check: asyncio.TimerHandle | None = None
         self._is_draining = False
         self._has_ended = False
 
@@ -134,6 +138,7 @@
         """Cancel the timer and the task that handles requests."""
         self._has_ended = True
         self._update_timer()
+        self._end_close_check()
         self._parser.close()
         self._pending.clear()
         self._writable.set()
@@ -153,8 +158,7 @@
         if self._pending or self._parser.error is not None:
             self._wake.set()
         self._continue_if_due()
-        if self._is_full() and self._transport is not None:
-            self._transport.pause_reading()
+        self._update_reading()
         self._update_timer()
 
     def pause_writing(self) -> None:
@@ -216,6 +220,8 @@
     async def _serve_next(self) -> None:
         request = self._pending.popleft()
         self.is_busy = True
+        # Reading goes on while the request is handled, so that the caller's close is seen.
+        self._update_reading()
         self._update_timer()
         responder = _Responder(connection=self, request=request)
         try:
@@ -234,7 +240,8 @@
         elif responder.closes or (self._is_draining and not self._pending):
             self.close()
         else:
-            self._resume_reading()
+            self._continue_if_due()
+            self._update_timer()
 
     def _continue_if_due(self) -> None:
         """Send the interim response that a caller awaits, unless earlier responses are due."""
@@ -242,15 +249,39 @@
             self._parser.expects_continue = False
             self._write(CONTINUE)
 
-    def _resume_reading(self) -> None:
-        self._parser.limits = self._limits()
-        self._continue_if_due()
-        if self._transport is not None and not self._has_ended and not self._is_full():
+    def _update_reading(self) -> None:
+        """Pause reading while the requests that wait are as many, or as large, as allowed."""
+        if self._transport is None or self._has_ended:
+            return
+        if self._is_full():
+            self._transport.pause_reading()
+            self._schedule_close_check()
+        else:
+            self._end_close_check()
             self._transport.resume_reading()
-        self._update_timer()
+
+    def _schedule_close_check(self) -> None:
+        if self._close_check is None:
+            self._close_check = self._loop.call_later(
+                CLOSE_CHECK_INTERVAL_S, self._close_if_caller_closed
+            )
+
+    def _end_close_check(self) -> None:
+        if self._close_check is not None:
+            self._close_check.cancel()
+            self._close_check = None
+
+    def _close_if_caller_closed(self) -> None:
+        self._close_check = None
+        if self._has_ended or self._transport is None:
+            return
+        if _has_peer_closed(self._transport.get_extra_info("socket")):
+            self.abort()
+            return
+        self._schedule_close_check()
 
     def _is_full(self) -> bool:
-        """Return whether the pipelined requests that wait are as many, or as large, as allowed."""
+        """Return whether the requests sent ahead are as many, or as large, as allowed."""
         body_bytes = sum(len(request.body) for request in self._pending)
         return len(self._pending) >= MAX_PENDING_REQUESTS or body_bytes > MAX_PENDING_BODY_BYTES
 
@@ -309,6 +340,15 @@
         self._wake.set()
 
 
+def _has_peer_closed(sock: socket.socket | None) -> bool:
+    """Return whether the other side has closed, though bytes that it sent before are unread."""
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class _Responder:
     """Writes the response to one request; implements `Responder`.
 
--- a/src/cicadatiller/ingress/_parser.py
+++ b/src/cicadatiller/ingress/_parser.py
@@ -1,6 +1,7 @@
 """Parses requests with `httptools` and enforces size limits."""
 
 import hashlib
+from collections.abc import Callable
 from typing import Any
 
 import httptools
@@ -38,18 +39,18 @@
     `httptools` calls the methods whose names begin with `on_`.
 
     Args:
-        limits: The size limits.
+        limits: Returns the size limits in force; those at the begin of a request hold to its end.
 
     Attributes:
-        limits: The size limits; they may be replaced between requests.
         error: The first parse error or exceeded limit; None if there is none. No data is parsed
             after an error.
         is_within_head: Whether a request has begun and its headers are incomplete.
         expects_continue: Whether the caller waits for a 100 response before it sends the body.
     """
 
-    def __init__(self, *, limits: IngressLimits) -> None:
-        self.limits = limits
+    def __init__(self, *, limits: Callable[[], IngressLimits]) -> None:
+        self._current_limits = limits
+        self._limits = limits()
         self.error: BadRequestError | None = None
         self.is_within_head = False
         self.expects_continue = False
@@ -98,6 +99,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._reset()
+        self._limits = self._current_limits()
         self._begun = True
         self.is_within_head = True
 
@@ -131,7 +133,7 @@
                 self.expects_continue = value.strip().lower() == b"100-continue"
         if hosts != 1:
             self._refuse(BAD_REQUEST, "a request needs exactly one Host header")
-        if declared_bytes > self.limits.max_body_bytes:
+        if declared_bytes > self._limits.max_body_bytes:
             self._refuse(BODY_TOO_LARGE, "the body is too long")
 
     def on_body(self, body: bytes) -> None:
@@ -141,7 +143,7 @@
         self._body += body
         # Here and not at the end, where a long body would hold up other requests.
         self._body_hash.update(body)
-        if len(self._body) > self.limits.max_body_bytes:
+        if len(self._body) > self._limits.max_body_bytes:
             self._refuse(BODY_TOO_LARGE, "the body is too long")
 
     def on_message_complete(self) -> None:
@@ -171,7 +173,7 @@
 
     def _count_head(self, size_bytes: int) -> None:
         self._framing.add_header(size_bytes)
-        if self._framing.exceeds(self.limits.max_header_bytes):
+        if self._framing.exceeds(self._limits.max_header_bytes):
             self._refuse(HEADERS_TOO_LARGE, "the request line and headers are too long")
 
     def _check_framing(self, size_bytes: int) -> None:
@@ -180,7 +182,7 @@
         Data in which a request begins is not counted, as it may hold the end of another one.
         """
         self._framing.add_data(size_bytes)
-        if not self._framing.exceeds(self.limits.max_header_bytes):
+        if not self._framing.exceeds(self._limits.max_header_bytes):
             return
         if self.is_within_head:
             self._set_error(HEADERS_TOO_LARGE, "the request line and headers are too long")
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -11,7 +11,7 @@
 
 
 def parse(*data):
-    parser = RequestParser(limits=LIMITS)
+    parser = RequestParser(limits=lambda: LIMITS)
     requests = [request for piece in data for request in parser.feed(piece, 0.0)]
     assert parser.error is None, parser.error
     return requests
--- a/tests/test_ingress_closing.py
+++ b/tests/test_ingress_closing.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from cicadatiller.ingress import IngressServer, Response
+from cicadatiller.ingress._connection import MAX_PENDING_REQUESTS
 from cicadatiller.kernel import Event
 
-from .support.callers import GET, IngressCase
+from .support.callers import GET, LIMITS, POST, IngressCase
 
 
 class ClosingTest(IngressCase):
@@ -48,6 +50,33 @@
 
                 self.assertLess(self.run_paused(scenario()), 0.01)
 
+    def test_the_handler_is_cancelled_when_the_caller_of_a_large_body_disconnects(self):
+        large = b"POST /a HTTP/1.1\r\nHost: n\r\nContent-Length: 900000\r\n\r\n"
+        large += b"x" * 900_000
+
+        async def scenario(sent):
+            ended = []
+
+            async def handler(request, responder):
+                try:
+                    await asyncio.sleep(60)
+                finally:
+                    ended.append(asyncio.get_running_loop().time())
+
+            limits = replace(LIMITS, max_body_bytes=1_000_000)
+            await self.serve(handler, limits=limits)
+            caller = await self.call(sent, pause_s=1.0)
+            left_s = asyncio.get_running_loop().time()
+            caller.transport.close()
+            await asyncio.sleep(1)
+            return [time_s - left_s for time_s in ended]
+
+        for name, sent in {"alone": large, "with one sent ahead": large + GET}.items():
+            with self.subTest(name):
+                ended = self.run_paused(scenario(sent))
+                self.assertEqual(len(ended), 1)
+                self.assertLess(ended[0], 0.5)
+
     def test_an_interrupted_response_does_not_look_complete(self):
         async def scenario():
             async def handler(request, responder):
@@ -244,3 +273,44 @@
         reader, _ = await self.open_stream(b"/")
         self.finishing.set()
         self.assertEqual(await reader.read(), b"")
+
+
+class SentAheadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_close_is_seen_while_requests_sent_ahead_pause_reading(self):
+        """Guards against work for a caller that left, as its close is behind unread bytes."""
+        ended = asyncio.Event()
+
+        async def handler(request, responder):
+            try:
+                await asyncio.sleep(60)
+            finally:
+                ended.set()
+
+        server = IngressServer(handler=handler)
+        port = await server.start("127.0.0.1", 0)
+        self.addCleanup(server.close)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET * (MAX_PENDING_REQUESTS + 1))
+        await writer.drain()
+        await asyncio.sleep(0.2)
+        # These stay unread, in front of the close.
+        writer.write(GET * 10)
+        writer.close()
+        async with asyncio.timeout(5):
+            await ended.wait()
+
+
+class LimitsInForceTest(IngressCase):
+    def test_an_idle_connection_takes_the_limits_that_are_in_force_at_its_next_request(self):
+        """Guards against 413 by a limit that the operator has raised meanwhile."""
+        large = b"POST /a/ HTTP/1.1\r\nHost: n\r\nContent-Length: 500\r\n\r\n" + b"x" * 500
+
+        async def scenario():
+            server = await self.serve()
+            caller = await self.call(POST)
+            server.limits = replace(LIMITS, max_body_bytes=1000)
+            caller.transport.write(large)
+            await asyncio.sleep(0.1)
+            return caller.statuses
+
+        self.assertEqual(self.run_paused(scenario()), [200, 200])
