Evacuation: the targets of a data centre that the operator evacuates get no new work

The topics of the store and their sinks moved from the gateway into gateway/_topics.py. Before: tests.test_evacuation can't be run on the earlier code. After: passes.

--- a/src/cicadatiller/fleet/_availability.py
+++ b/src/cicadatiller/fleet/_availability.py
@@ -1,8 +1,9 @@
 """Whether a target may get new work now, and if not, from when on.
 
-Two kinds of reasons keep new work from a target. What the target states is binding: one that leaves
-gets none, one that asked this entry for no requests gets none until the end of that time, and one
-that states a rate gets no more than that from all entries together. What this entry observes, by
+Two kinds of reasons keep new work from a target. What the target and the operator state is binding:
+a target that leaves or whose data centre is evacuated gets none, one that asked this entry for no
+requests gets none until the end of that time, and one that states a rate gets no more than that
+from all entries together. What this entry observes, by
 the circuit breaker, is a preference: ejected targets are used again if too many of a pool are
 ejected. `select_usable` applies both, the binding one first.
 """
@@ -30,12 +31,14 @@
         registered_state: The state in the target's registration.
         has_announced_leaving: Whether the target has stated in a response that it leaves. This is
             final for the run; a registration does not undo it.
+        is_evacuated: Whether the operator has evacuated the target's data centre.
         rate: The rate of requests that it takes from all entries together.
     """
 
     def __init__(self, *, registered_state: TargetState = TargetState.READY) -> None:
         self.registered_state = registered_state
         self.has_announced_leaving = False
+        self.is_evacuated = False
         self.rate = StatedRate()
         self._quiet_until_s = -math.inf
         self._quiet_requests = 0
@@ -48,7 +51,7 @@
 
     def usable_from_s(self, now_s: float) -> float:
         """Return the loop time from which the target may get new work, infinite if never."""
-        if self.is_leaving:
+        if self.is_leaving or self.is_evacuated:
             return math.inf
         return max(now_s, self._quiet_until_s, self.rate.next_send_s(now_s))
 
@@ -57,6 +60,10 @@
 
         A request that was placed on it may then be sent: its part of the rate is taken.
         """
+        return self.takes_orders(now_s) and not self.is_evacuated
+
+    def takes_orders(self, now_s: float) -> bool:
+        """Return whether orders and reports for work that runs there may be sent now."""
         return not self.is_leaving and not self.is_quiet(now_s)
 
     def may_place(self, now_s: float) -> bool:
--- a/src/cicadatiller/fleet/_directory.py
+++ b/src/cicadatiller/fleet/_directory.py
@@ -46,6 +46,11 @@
         """Return whether the target does not leave; it may still want no requests for a time."""
         return not self.availability.is_leaving
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the operator has evacuated the target's data centre."""
+        return self.availability.is_evacuated
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether the target may be sent new work now."""
         return self.availability.is_usable(now_s)
@@ -78,6 +83,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self._targets: dict[str, Target] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._unregistered: OrderedDict[str, _UnregisteredRun] = OrderedDict()
 
     def find(self, instance_id: str) -> Target | None:
@@ -105,13 +111,24 @@
         return self._targets.values()
 
     def targets_of(self, service: str) -> list[Target]:
-        """Return the targets of a service that do not leave."""
+        """Return the targets of a service that neither leave nor are evacuated."""
         return [
             target
             for target in self._targets.values()
-            if target.accepts_work and target.record.service == service
+            if target.accepts_work and not target.is_evacuated and target.record.service == service
         ]
 
+    def evacuated(self) -> list[Target]:
+        """Return the targets of the evacuated data centres."""
+        return [target for target in self._targets.values() if target.is_evacuated]
+
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Set the data centres whose targets get no new work."""
+        self._evacuated = data_centres
+        self.revision += 1
+        for target in self._targets.values():
+            self._mark_evacuated(target)
+
     def announced_leaving(self) -> list[Target]:
         """Return the targets that stated in a response that they leave."""
         return [t for t in self._targets.values() if t.availability.has_announced_leaving]
@@ -131,6 +148,7 @@
         if known.record != record:
             self.revision += 1
         known.update(record)
+        self._mark_evacuated(known)
         return False
 
     def remove(self, instance_id: str, reason: str) -> bool:
@@ -180,9 +198,14 @@
     def _add_run(self, record: TargetRecord, known: Target | None) -> None:
         availability = self._stated_before(record, known)
         self.revision += 1
-        self._targets[record.instance_id] = Target(record=record, availability=availability)
+        target = Target(record=record, availability=availability)
+        self._mark_evacuated(target)
+        self._targets[record.instance_id] = target
         log_event(Event.INSTANCE_SEEN, name=record.instance_id, address=record.address)
 
+    def _mark_evacuated(self, target: Target) -> None:
+        target.availability.is_evacuated = target.record.data_centre in self._evacuated
+
     def _stated_before(self, record: TargetRecord, known: Target | None) -> Availability | None:
         """Return what a run stated before its registration was read; None if it is a later run.
 
--- a/src/cicadatiller/fleet/_subset.py
+++ b/src/cicadatiller/fleet/_subset.py
@@ -91,7 +91,7 @@
         return tuple(self.entries[index] for index in sorted(indexes))
 
     def targets_of(self, service: str) -> list[Target]:
-        """Return the targets of a service that this entry uses and that do not leave."""
+        """Return the targets of a service that this entry uses, without leaving and evacuated ones."""
         self._refresh()
         return list(self._pools.get(service, ()))
 
@@ -126,7 +126,7 @@
         self._positions.clear()
         pools: dict[str, dict[str, Target]] = defaultdict(dict)
         for target in self._directory.targets():
-            if target.accepts_work:
+            if target.accepts_work and not target.is_evacuated:
                 pools[target.record.service][target.instance_id] = target
         ring_keys = self._ring_keys
         self._ring_keys = {}
--- a/src/cicadatiller/gateway/_node.py
+++ b/src/cicadatiller/gateway/_node.py
@@ -11,6 +11,7 @@
         shutdown_s: Time from the stop signal until the process is killed.
         target_drain_s: Time for which a leaving target may still receive requests.
         config_converge_s: Time within which a new configuration must be applied.
+        evacuate_s: Time within which the evacuation of a data centre must be applied.
         retry_ratio: Retries per request of a service.
         retry_slack: Number of retries allowed in addition.
         retry_window_s: Length of the window in which requests and retries are counted.
@@ -22,6 +23,7 @@
     shutdown_s: float = 8.0
     target_drain_s: float = 2.0
     config_converge_s: float = 2.0
+    evacuate_s: float = 2.0
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     retry_window_s: float = 10.0
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -20,10 +20,9 @@
 from ._crash_check import CrashCheck
 from ._exposition import Exposition
 from ._figures import FiguresLog, pool_gauges
-from ._followers import TopicFollower
 from ._forwarder import Forwarder
 from ._handler import RequestHandler
-from ._members import Membership, MemberSink
+from ._members import Membership
 from ._metrics import GatewayMetrics
 from ._node import NodeSettings
 from ._orders import EngineClient
@@ -35,28 +34,18 @@
 from ._retry_budget import RetryBudget
 from ._scheduler import Scheduler
 from ._settings import GatewaySettings
-from ._sinks import ConfigurationSink, DocumentDecoder
+from ._sinks import DocumentDecoder
 from ._slot_arbiter import SlotArbiter
 from ._status import StatusServer
-from ._store_era import share_era, store_gauges
 from ._target_failures import TargetFailures
 from ._target_notices import TargetNotices
-from ._target_sink import TargetSink
 from ._tickets import ReservationManager
-from ._unreadable import UnreadableRecords
+from ._topics import StoreTopics
 from ._wire import WireCodec
 
-CONFIGURATION_LONG_POLL_S = 10.0
-# Of the time in which a configuration has to be in force: versions that follow each other faster
-# are read together, so that all of them reach an instance with a slow link in time.
-CHANGE_INTERVAL_SHARE = 0.15
-# Peers announce how many registrations of entries they have read, so that few reads are needed.
-MEMBERS_READ_INTERVAL_S = 60.0
 SWEEP_INTERVAL_S = 1.0
 # After a cut that lasted so long that both sides gave up their links, they are dialled again.
 PEER_SELECTION_INTERVAL_S = 30.0
-# Of the time for which a leaving target may still receive requests; leaves room for a failed read.
-TARGET_READ_SHARE = 0.25
 RUN_ID_DIGITS = 6
 
 # The load balancer polls readiness once a second and removes an entry after two failed polls.
@@ -116,7 +105,6 @@
         self._figures = FiguresLog(metrics=self._metrics, gauges=self._gauges)
         self._ends_at_s = math.inf
         self._clock = ClockWatch(loop_time_s=self._loop.time, boot_time_s=boot_time_s)
-        self._configuration = ConfigurationSink(decoder=decoder, on_change=self._apply_limits)
         self._budget = RetryBudget(
             ratio=node.bounds.retry_ratio,
             slack=node.bounds.retry_slack,
@@ -126,12 +114,7 @@
         self._reservations = ReservationManager(
             orders=orders, bounds=node.bounds, tasks=self._tasks
         )
-        self._unreadable = {topic: UnreadableRecords() for topic in (Topic.TARGETS, Topic.MEMBERS)}
-        self._members = MemberSink(
-            on_change=self._on_members_change, unreadable=self._unreadable[Topic.MEMBERS]
-        )
-        self._followers = self._make_followers(log, decoder)
-        share_era(self._followers.values())
+        self._topics = self._make_topics(log, decoder)
         self.peer_sync = self._make_peer_sync(transport)
         self._guard = RequestGuard(
             name=node.name,
@@ -162,7 +145,7 @@
     @property
     def config_version(self) -> int:
         """Return the version of the configuration in force; 0 before the first."""
-        table = self._configuration.table
+        table = self._topics.configuration.table
         return 0 if table is None else table.version
 
     @property
@@ -177,7 +160,7 @@
         await self._status_server.start(
             self._node.readiness_address, self._node.host, self._settings.metrics_port
         )
-        for topic, follower in self._followers.items():
+        for topic, follower in self._topics.followers.items():
             self._tasks.keep_running(follower.run, name=f"follow {topic.value}")
         self._tasks.start(self._start_mesh(), name="start mesh")
         self._tasks.keep_running(self._membership.run, name="membership")
@@ -208,8 +191,7 @@
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
         self._reservations.set_bounds(bounds)
-        self._followers[Topic.TARGETS].interval_s = self._target_read_interval_s()
-        self._followers[Topic.CONFIGURATION].change_interval_s = self._change_interval_s()
+        self._topics.set_bounds(bounds)
 
     async def close(self) -> None:
         """Stop at once and cut off open requests."""
@@ -260,52 +242,21 @@
             suspended_s = self._clock.suspended_s()
             if suspended_s:
                 log_event(Event.CLOCK_JUMPED, suspended_s=round(suspended_s, 1))
-                for follower in self._followers.values():
-                    follower.read_soon()
+                self._topics.read_soon()
 
-    def _make_followers(
-        self, log: KeyedLog, decoder: DocumentDecoder
-    ) -> dict[Topic, TopicFollower]:
-        targets = TargetSink(
+    def _make_topics(self, log: KeyedLog, decoder: DocumentDecoder) -> StoreTopics:
+        return StoreTopics(
+            log=log,
             decoder=decoder,
             directory=self._directory,
-            unreadable=self._unreadable[Topic.TARGETS],
-            on_new_run=self.board.forget_target,
-            on_removed=self.board.forget_target,
+            bounds=self._node.bounds,
+            target_read_interval_s=self._settings.target_read_interval_s,
+            on_new_table=self._apply_limits,
+            on_target_changed=self.board.forget_target,
+            on_members_change=self._on_members_change,
+            on_read=lambda *read: self.peer_sync.topic_read(*read),
+            on_change=self._on_topic_change,
         )
-        return {
-            Topic.CONFIGURATION: TopicFollower(
-                log=log,
-                topic=Topic.CONFIGURATION,
-                sink=self._configuration,
-                wait_s=CONFIGURATION_LONG_POLL_S,
-                change_interval_s=self._change_interval_s(),
-                on_change=self._on_configuration_change,
-            ),
-            Topic.TARGETS: TopicFollower(
-                log=log,
-                topic=Topic.TARGETS,
-                sink=targets,
-                interval_s=self._target_read_interval_s(),
-                on_read=lambda *read: self.peer_sync.topic_read(*read),
-                on_change=self._on_topic_change,
-                on_store_recovered=lambda: self._followers[Topic.CONFIGURATION].renew_poll(),
-            ),
-            Topic.MEMBERS: TopicFollower(
-                log=log,
-                topic=Topic.MEMBERS,
-                sink=self._members,
-                interval_s=MEMBERS_READ_INTERVAL_S,
-                on_change=self._on_members_read,
-            ),
-        }
-
-    def _change_interval_s(self) -> float:
-        return CHANGE_INTERVAL_SHARE * self._node.bounds.config_converge_s
-
-    def _target_read_interval_s(self) -> float:
-        chosen_s = self._settings.target_read_interval_s
-        return chosen_s or TARGET_READ_SHARE * self._node.bounds.target_drain_s
 
     def _make_peer_sync(self, transport: Transport) -> PeerSync:
         greeting = Greeting(
@@ -321,7 +272,7 @@
             board=self.board,
             directory=self._directory,
             budget=self._budget,
-            followers=self._followers,
+            followers=self._topics.followers,
             on_change=self._wake,
             on_breaker_opened=self._refuse_waiting,
             on_peer_given_up=self._remove_member,
@@ -332,8 +283,8 @@
             log=log,
             name=self._node.name,
             address=self._node.peer_address,
-            sink=self._members,
-            follower=self._followers[Topic.MEMBERS],
+            sink=self._topics.members,
+            follower=self._topics.followers[Topic.MEMBERS],
             connected_peers=lambda: self.peer_sync.mesh.connected_peers,
         )
 
@@ -404,7 +355,7 @@
         )
         return RequestHandler(
             codec=codec,
-            table=lambda: self._configuration.table,
+            table=lambda: self._topics.configuration.table,
             forwarder=forwarder,
             metrics=self._metrics,
             stall=self._stall,
@@ -431,7 +382,7 @@
         self._membership.members_changed()
 
     def _on_members_change(self) -> None:
-        addresses = self._members.addresses
+        addresses = self._topics.members.addresses
         self._subset.set_entries(addresses)
         self._budget.all_entries = len(self._subset.entries)
         if not self.peer_sync.mesh.is_started:
@@ -447,17 +398,17 @@
         service = self._find_service(name)
         return service is not None and service.engine is not None
 
-    def _on_topic_change(self) -> None:
+    def _on_topic_change(self, topic: Topic) -> None:
         """Handle records of a topic that this entry or a peer read from the store."""
-        targets = self._followers[Topic.TARGETS]
-        if self._configuration.table is not None and targets.next_offset is not None:
+        if topic is Topic.MEMBERS:
+            self._on_members_read()
+            return
+        if topic is Topic.CONFIGURATION:
+            self.peer_sync.offsets_changed()
+        if self._topics.are_read:
             self._synced.set()
         self._wake()
 
-    def _on_configuration_change(self) -> None:
-        self.peer_sync.offsets_changed()
-        self._on_topic_change()
-
     def _refuse_waiting(self) -> None:
         self._scheduler.refuse_waiting(self._guard.find_refusal)
 
@@ -465,7 +416,7 @@
         self._scheduler.wake()
 
     def _find_service(self, name: str) -> Service | None:
-        table = self._configuration.table
+        table = self._topics.configuration.table
         return None if table is None else table.services.get(name)
 
     def _apply_limits(self, table: RouteTable) -> None:
@@ -481,16 +432,25 @@
             },
             "followed_config": {
                 "version": str(self.config_version),
-                "digest": self._configuration.digest,
+                "digest": self._topics.configuration.digest,
             },
         }
 
+    def _count_requests_in_evacuated(self) -> int:
+        """Return how many requests of this entry still run on targets that were evacuated."""
+        loads = (self.board.load(target.instance_id) for target in self._directory.evacuated())
+        return sum(
+            work.owner == self._run_id and work.writes
+            for load in loads
+            for work in load.works.values()
+        )
+
     def _gauges(self) -> dict[str, float]:
         return {
             "stalls": self._stall.stalls,
             "task_failures": self._tasks.failures.total(),
-            "records_unreadable": sum(keys.count for keys in self._unreadable.values()),
             "config_version": self.config_version,
+            "requests_in_evacuated": self._count_requests_in_evacuated(),
             "caller_connections": self._caller_server.open_connections,
             "caller_connections_idle_closed": self._caller_server.idle_closed,
             "requests_waiting": self._scheduler.waiting,
@@ -500,7 +460,7 @@
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
             "entries_known": len(self._subset.entries),
             "targets_used": self._subset.size,
-            **store_gauges(self._followers),
+            **self._topics.gauges(),
             "peer_bytes_queued": self.peer_sync.mesh.queued_bytes,
             "peer_round_trip_seconds": self.peer_sync.mesh.round_trip_s,
             **pool_gauges(self._pool),
--- a/src/cicadatiller/gateway/_sinks.py
+++ b/src/cicadatiller/gateway/_sinks.py
@@ -18,6 +18,9 @@
     def decode_configuration(self, value: bytes) -> RouteTable:
         """Decode a configuration."""
 
+    def find_evacuated(self, key: str) -> str | None:
+        """Return the data centre that a key of the operator evacuates; None for other keys."""
+
     def decode_target(self, key: str, value: bytes) -> TargetRecord:
         """Decode the registration of a target; `key` is its instance id."""
 
--- a/src/cicadatiller/gateway/_tickets.py
+++ b/src/cicadatiller/gateway/_tickets.py
@@ -191,7 +191,7 @@
         deadline_s = loop.time() + (LATE_ORDER_WINDOW_S if may_apply_late or not confirmed else 0.0)
         while loop.time() < deadline_s:
             await asyncio.sleep(LATE_ORDER_CHECK_INTERVAL_S)
-            if not ticket.target.is_usable(loop.time()):
+            if not ticket.target.availability.takes_orders(loop.time()):
                 continue
             report = await self._orders.report(ticket.address, is_current=True)
             if report is not None and ticket.name in report.tickets:
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -88,6 +88,8 @@
     TARGET_LEAVING = (502, "info", "A target began to leave.")
     BREAKER_OPENED = (503, "warning", "A target was ejected after failures.")
     BREAKER_CLOSED = (504, "info", "A target was readmitted after a successful probe or request.")
+    EVACUATION_STARTED = (506, "info", "A data centre was evacuated; its targets get no new work.")
+    EVACUATION_ENDED = (507, "info", "The evacuation of a data centre was taken back.")
     LOG_READ_FAILED = (600, "warning", "The platform's log could not be read.")
     CHANGE_ACCEPTED = (601, "info", "A configuration change was accepted.")
     CHANGE_REFUSED = (602, "info", "A configuration change was rejected.")
--- a/src/cicadatiller/platform/_documents.py
+++ b/src/cicadatiller/platform/_documents.py
@@ -31,6 +31,8 @@
 TARGET_STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 ROUTE_KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "stream": RouteKind.STREAM}
 
+EVACUATION_PREFIX = "evacuate/"
+
 
 def decode_configuration(value: bytes) -> RouteTable:
     """Decode the operator's configuration.
@@ -180,6 +182,11 @@
         """Decode a configuration; raises `DocumentError`."""
         return decode_configuration(value)
 
+    def find_evacuated(self, key: str) -> str | None:
+        """Return the data centre that a key of the operator evacuates; None for other keys."""
+        prefix, _, data_centre = key.partition(EVACUATION_PREFIX)
+        return None if prefix else data_centre or None
+
     def decode_target(self, key: str, value: bytes) -> TargetRecord:
         """Decode the registration of a target; `key` is its instance id; raises `DocumentError`."""
         return decode_target(key, value)
--- a/src/cicadatiller/platform/_settings.py
+++ b/src/cicadatiller/platform/_settings.py
@@ -7,6 +7,8 @@
 from ..gateway import Bounds, NodeSettings
 
 MAX_PORT = 65_535
+# Deployments without evacuations do not state the bound.
+DEFAULT_EVACUATE_MS = 5_000
 SETTINGS_PATH_VARIABLE = "CICADATILLER_SETTINGS"
 
 
@@ -66,6 +68,7 @@
             shutdown_s=bounds.number("grace_s"),
             target_drain_s=bounds.number("drain_ms") / 1000,
             config_converge_s=bounds.number("config_converge_ms") / 1000,
+            evacuate_s=bounds.number("evacuate_ms", DEFAULT_EVACUATE_MS) / 1000,
             retry_ratio=bounds.number("retry_budget_ratio"),
             retry_slack=bounds.number("retry_budget_slack"),
             retry_window_s=bounds.number("budget_window_s"),
