Evacuation at the own interface: an object, three commands, targets left out

Change: configuration objects of kind evacuation, named by data centre, so that audit, propagation and conflicts are those of all objects; entries send nothing to their targets, and sidecars ask none of them into a gang. Commands evacuation start, end and list, and a column of status.

--- a/src/cicadatiller/cli/_app.py
+++ b/src/cicadatiller/cli/_app.py
@@ -12,6 +12,7 @@
 from ._check import check_settings
 from ._client import DEFAULT_ENTRY, Connection, ExitCode
 from ._context import CommandContext
+from ._evacuation import evacuation
 from ._output import OutputFormat
 
 KEY_BYTES = 32
@@ -58,6 +59,7 @@
     typer.echo(f"hash: {hash_key(key)}")
 
 
+app.add_typer(evacuation, name="evacuation")
 app.command("apply")(_changes.apply)
 app.command("delete")(_changes.delete)
 app.command("check-settings")(check_settings)
--- a/src/cicadatiller/cli/_changes.py
+++ b/src/cicadatiller/cli/_changes.py
@@ -21,6 +21,8 @@
 from ._manifests import Manifest, format_differences, read_manifests
 from ._waiting import wait_until_applied
 
+VERDICT_TIMEOUT_S = 10.0
+
 FileOption = Annotated[
     Path, typer.Option("--file", "-f", help="A YAML file of configuration objects.")
 ]
@@ -84,7 +86,9 @@
 @exit_on_command_error
 def delete(
     ctx: typer.Context,
-    kind: Annotated[str, typer.Argument(help="deployment, model, service, workspace or operator.")],
+    kind: Annotated[
+        str, typer.Argument(help="deployment, model, service, workspace, operator or evacuation.")
+    ],
     name: str,
     reason: ReasonOption = "",
     dry_run: DryRunOption = False,
@@ -101,6 +105,22 @@
     _publish(get_command_context(ctx).connection, request, is_dry_run=dry_run)
 
 
+def publish_manifest(
+    connection: Connection,
+    manifest: Manifest,
+    *,
+    reason: str,
+    force: bool = False,
+    is_dry_run: bool = False,
+    wait_timeout_s: float | None = None,
+) -> None:
+    """Publish one object, and wait until it is applied everywhere if a timeout is given."""
+    request = _make_request([manifest], reason, force, VERDICT_TIMEOUT_S, "")
+    _publish(connection, request, is_dry_run=is_dry_run)
+    if wait_timeout_s is not None and not is_dry_run:
+        wait_until_applied(connection, _get_change_offset(connection, request), wait_timeout_s)
+
+
 def _make_request(
     manifests: list[Manifest], reason: str, force: bool, time_limit_s: float, change_id: str
 ) -> pb.ApplyRequest:
--- a/src/cicadatiller/cli/_reading.py
+++ b/src/cicadatiller/cli/_reading.py
@@ -8,6 +8,7 @@
 from ..rpc._generated.cicadatiller.v1 import operators_pb as pb
 from ._client import Connection
 from ._context import exit_on_command_error, get_command_context
+from ._evacuation import evacuated_data_centres
 from ._followed import followed_rows
 from ._output import OutputFormat, print_rows, print_table, print_value
 
@@ -114,7 +115,11 @@
         "config_lag_s": round(response.config_lag_s, 1),
         "log_reachable": response.log_reachable,
     }
-    data_centres = [_data_centre_row(item) for item in response.data_centres]
+    evacuated = evacuated_data_centres(options.connection)
+    data_centres = [
+        {**_data_centre_row(item), "evacuated": item.data_centre in evacuated}
+        for item in response.data_centres
+    ]
     targets = [_target_row(item) for item in response.targets]
     failures = [_failure_row(item) for item in response.failures]
     if options.output is not OutputFormat.TABLE:
--- a/src/cicadatiller/config/_fold.py
+++ b/src/cicadatiller/config/_fold.py
@@ -6,7 +6,13 @@
 from returns.result import Success
 
 from ..backing import LogRecord
-from ._indexes import ParsedEdit, update_members, update_operators, update_workspace_names
+from ._indexes import (
+    ParsedEdit,
+    update_evacuated,
+    update_members,
+    update_operators,
+    update_workspace_names,
+)
 from ._objects import normalize_body
 from ._records import AuditEntry, ChangeRecord, ObjectDifference, decode_record, digest_change
 from ._state import ConfigState, ObjectKey, StateObject
@@ -58,6 +64,7 @@
         objects=_update_objects(state.objects, edits, bodies, record.offset),
         workspace_names=update_workspace_names(state.workspace_names, edits),
         operators=update_operators(state.operators, edits),
+        evacuated=update_evacuated(state.evacuated, edits),
         members=update_members(state.members, edits),
     )
     return _append_to_audit(accepted, replace(entry, differences=differences))
--- a/src/cicadatiller/config/_indexes.py
+++ b/src/cicadatiller/config/_indexes.py
@@ -52,6 +52,13 @@
     return updated
 
 
+def update_evacuated(names: frozenset[str], edits: list[ParsedEdit]) -> frozenset[str]:
+    """Return the names of the evacuated data centres after edits."""
+    touched = [edit for edit in edits if edit.key[0] == "evacuation"]
+    started = {edit.key[1] for edit in touched if edit.after is not None}
+    return (names - {edit.key[1] for edit in touched}) | started
+
+
 def update_members(members: Mapping[str, int], edits: list[ParsedEdit]) -> Mapping[str, int]:
     """Return the number of objects that reference each deployment after edits."""
     updated = dict(members)
--- a/src/cicadatiller/config/_objects.py
+++ b/src/cicadatiller/config/_objects.py
@@ -173,6 +173,14 @@
         return hmac.compare_digest(self.key_hash, hash_key(key))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Evacuation:
+    """The evacuation of the data centre that has the object's name.
+
+    Its targets get no new work, whatever their deployment, until the object is removed.
+    """
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OpaqueObject:
     """An object of a kind that only newer versions of the program know.
@@ -184,7 +192,7 @@
     deployment: str | None = None
 
 
-ConfigValue = Deployment | Model | Service | Workspace | Operator | OpaqueObject
+ConfigValue = Deployment | Model | Service | Workspace | Operator | Evacuation | OpaqueObject
 
 OBJECT_TYPES: dict[str, type[ConfigValue]] = {
     "deployment": Deployment,
@@ -192,6 +200,7 @@
     "service": Service,
     "workspace": Workspace,
     "operator": Operator,
+    "evacuation": Evacuation,
 }
 
 
--- a/src/cicadatiller/config/_snapshot.py
+++ b/src/cicadatiller/config/_snapshot.py
@@ -4,7 +4,13 @@
 import hashlib
 from dataclasses import dataclass, field
 
-from ._indexes import ParsedEdit, update_members, update_operators, update_workspace_names
+from ._indexes import (
+    ParsedEdit,
+    update_evacuated,
+    update_members,
+    update_operators,
+    update_workspace_names,
+)
 from ._objects import OpaqueObject, parse_stored_object
 from ._records import Snapshot, SnapshotPart, StoredObject, pack_in_steps
 from ._state import ConfigState, StateObject
@@ -38,6 +44,7 @@
         verdicts={entry.change_id: entry for entry in snapshot.audit},
         workspace_names=update_workspace_names({}, edits),
         operators=update_operators({}, edits),
+        evacuated=update_evacuated(frozenset(), edits),
         members=update_members({}, edits),
         audit_bytes=sum(entry.size_bytes for entry in snapshot.audit),
     )
--- a/src/cicadatiller/config/_state.py
+++ b/src/cicadatiller/config/_state.py
@@ -30,7 +30,7 @@
 class ConfigState:
     """The configuration at one offset.
 
-    The last four attributes are derived from `objects` and `verdicts`.
+    The last five attributes are derived from `objects` and `verdicts`.
 
     Attributes:
         offset: The offset of the newest folded record.
@@ -38,6 +38,7 @@
         verdicts: The audit trail by change id: the newest changes and their verdicts, oldest first.
         workspace_names: Workspace names by key hash.
         operators: Operators by name.
+        evacuated: The names of the evacuated data centres.
         members: The number of objects that reference each deployment.
         audit_bytes: The approximate size of the audit trail in memory.
     """
@@ -47,6 +48,7 @@
     verdicts: dict[str, AuditEntry] = field(default_factory=dict)
     workspace_names: Mapping[str, str] = field(default_factory=dict)
     operators: Mapping[str, Operator] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
     members: Mapping[str, int] = field(default_factory=dict)
     audit_bytes: int = 0
 
--- a/src/cicadatiller/entry/_dispatch.py
+++ b/src/cicadatiller/entry/_dispatch.py
@@ -56,9 +56,7 @@
             FailureError: NO_TARGET, or TOO_LARGE if no engine and no gang can hold the request.
         """
         serving = [
-            target
-            for target in self._view.targets()
-            if _serves(target, request, deployment, version)
+            target for target in self._targets() if _serves(target, request, deployment, version)
         ]
         if not serving and self.on_missing is not None:
             self.on_missing(deployment, request.service or request.model)
@@ -99,7 +97,7 @@
         """
         served = [
             version
-            for target in self._view.targets()
+            for target in self._targets()
             if target.address not in tried and only_address in ("", target.address)
             for version in _served_versions(target, request, deployment)
         ]
@@ -127,6 +125,11 @@
         target.breaker.record_dispatch(now_s)
         return target
 
+    def _targets(self) -> list[Target]:
+        """Return the targets outside of the evacuated data centres."""
+        evacuated = self._store.state.evacuated
+        return [t for t in self._view.targets() if t.instance.data_centre not in evacuated]
+
     def _large_enough(
         self, serving: list[Target], request: WorkRequest, deployment: str, version: str
     ) -> list[Target]:
--- a/src/cicadatiller/entry/_target_checks.py
+++ b/src/cicadatiller/entry/_target_checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from ..backing import InstanceKind
-from ..config import Model, ParsedEdit, Service
+from ..config import Evacuation, Model, ParsedEdit, Service
 from ..membership import Target
 
 
@@ -15,6 +15,10 @@
     """Return the problem if a change leaves a model or service without a target; else empty."""
     for edit in edits:
         before, after = edit.before, edit.after
+        if isinstance(after, Evacuation):
+            problem = _evacuation_problem(edit.key[1], targets)
+            if problem:
+                return problem
         if not isinstance(before, Model | Service):
             continue
         kind, name = edit.key
@@ -32,6 +36,33 @@
     return ""
 
 
+def _evacuation_problem(data_centre: str, targets: tuple[Target, ...]) -> str:
+    """Return the problem if an evacuation leaves a model or service without a target."""
+    live = [target for target in targets if _is_live(target)]
+    inside = [target for target in live if target.instance.data_centre == data_centre]
+    outside = [target for target in live if target.instance.data_centre != data_centre]
+    if live and not inside:
+        return f"no target is known in data centre {data_centre!r}; force the change"
+    served = {work for target in outside for work in _served(target)}
+    unserved = sorted({work for target in inside for work in _served(target)} - served)
+    if not unserved:
+        return ""
+    deployment, name = unserved[0]
+    return (
+        f"{name!r} of deployment {deployment!r} would have no target outside of "
+        f"{data_centre!r}; force the change"
+    )
+
+
+def _served(target: Target) -> list[tuple[str, str]]:
+    """Return the deployment and name of each model or service that a target serves."""
+    instance = target.instance
+    if instance.kind is InstanceKind.SERVICE:
+        return [(instance.deployment, instance.service)]
+    loaded = () if target.load is None else target.load.loaded
+    return [(instance.deployment, model) for model in loaded]
+
+
 def last_target_problem(target: Target, targets: tuple[Target, ...]) -> str:
     """Return the problem if a target is the last one of a model or service; else empty."""
     others = [t for t in targets if t is not target and _is_live(t)]
--- a/src/cicadatiller/sidecar/_peers.py
+++ b/src/cicadatiller/sidecar/_peers.py
@@ -62,7 +62,11 @@
         return bool(self._instances)
 
     def batches(self) -> tuple[tuple[str, ...], ...]:
-        """Return batches of the addresses to dial, sidecars for long work first."""
+        """Return batches of the addresses to dial, sidecars for long work first.
+
+        Those of evacuated data centres are left out, as their engines take no part of new prompts.
+        """
+        evacuated = self._store.state.evacuated
         others = [
             item
             for item in self._instances
@@ -70,6 +74,7 @@
             and item.deployment == self._deployment
             and item.state is InstanceState.LIVE
             and item.address != self._address
+            and item.data_centre not in evacuated
         ]
         others.sort(key=lambda item: long_prompt_rank(item.name))
         addresses = [item.address for item in others]
