Cold targets: all entries together keep to the rate that they tolerate

Change: ColdStart limits a run while it is cold, on the mechanism of stated rates; ColdTargets learns it from registrations, responses, peers and the ends of evacuations. What entries learn of targets moved from PeerSync to TargetSync. Event 416, metric targets_cold.

--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from ._availability import Availability, select_open, select_usable, usable_from_s
 from ._breaker import Breaker, HasBreaker, eject_failing, eject_slow, usable_targets
+from ._cold_start import ColdLimits, ColdStart
 from ._directory import Target, TargetDirectory
 from ._fingerprint import (
     DIGEST_CHARACTERS,
@@ -33,6 +34,8 @@
 from ._target import TargetRecord, TargetState
 
 __all__ = [
+    "ColdLimits",
+    "ColdStart",
     "DIGEST_CHARACTERS",
     "REQUEST_KINDS",
     "WEIGHING_DELAY_S",
--- a/src/cicadatiller/fleet/_availability.py
+++ b/src/cicadatiller/fleet/_availability.py
@@ -2,8 +2,8 @@
 
 Two kinds of reasons keep new work from a target. What the target and the operator state is binding:
 a target that leaves or whose data centre is evacuated gets none, one that asked this entry for no
-requests gets none until the end of that time, and one that states a rate gets no more than that
-from all entries together. What this entry observes, by
+requests gets none until the end of that time, and one that states a rate or is cold gets no more
+than that from all entries together. What this entry observes, by
 the circuit breaker, is a preference: ejected targets are used again if too many of a pool are
 ejected. `select_usable` applies both, the binding one first.
 """
@@ -13,6 +13,7 @@
 from typing import Protocol, TypeVar
 
 from ._breaker import HasBreaker, usable_targets
+from ._cold_start import ColdStart
 from ._stated_rate import StatedRate
 from ._target import TargetState
 
@@ -33,6 +34,7 @@
             final for the run; a registration does not undo it.
         is_evacuated: Whether the operator has evacuated the target's data centre.
         rate: The rate of requests that it takes from all entries together.
+        cold_start: Whether it is cold, and the rate that it takes meanwhile.
     """
 
     def __init__(self, *, registered_state: TargetState = TargetState.READY) -> None:
@@ -40,6 +42,7 @@
         self.has_announced_leaving = False
         self.is_evacuated = False
         self.rate = StatedRate()
+        self.cold_start = ColdStart()
         self._quiet_until_s = -math.inf
         self._quiet_requests = 0
         self._help_backoff_until_s = -math.inf
@@ -53,7 +56,17 @@
         """Return the loop time from which the target may get new work, infinite if never."""
         if self.is_leaving or self.is_evacuated:
             return math.inf
-        return max(now_s, self._quiet_until_s, self.rate.next_send_s(now_s))
+        return max(
+            now_s,
+            self._quiet_until_s,
+            self.rate.next_send_s(now_s),
+            self.cold_start.next_send_s(now_s),
+        )
+
+    def record_send(self, now_s: float, *, is_own: bool) -> None:
+        """Record a request to the target, of this entry or of a connected one."""
+        self.rate.record_send(now_s)
+        self.cold_start.record_send(now_s, is_own=is_own)
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the target wants new work now, at whatever rate.
--- a/src/cicadatiller/fleet/_stated_rate.py
+++ b/src/cicadatiller/fleet/_stated_rate.py
@@ -1,4 +1,4 @@
-"""The rate of requests that a target states it takes from all entries together.
+"""The rate of requests that a target takes from all entries together.
 
 Serves loads in which a target in need takes far fewer requests than usual, while many entries use
 it. There are no fixed shares: each entry counts what all entries that it is connected to have sent,
@@ -22,12 +22,14 @@
     Attributes:
         rate_per_s: The requests a second that it takes from all entries; infinite if it states
             none.
+        burst_s: As many requests as the target takes in this time may be sent at once.
         connected_share: The share of the entries using the target that this entry counts, itself
             included.
     """
 
     def __init__(self) -> None:
         self.rate_per_s = math.inf
+        self.burst_s = BURST_S
         self.connected_share = 1.0
         self._stated_s = -math.inf
         # When what was sent so far would be due at the stated rate.
@@ -65,7 +67,7 @@
         """Return the loop time from which this entry may send the next request."""
         if not self.is_limited:
             return now_s
-        burst_s = max(0.0, BURST_S - self._interval_s)
+        burst_s = max(0.0, self.burst_s - self._interval_s)
         return max(now_s, self._spent_until_s - burst_s)
 
     @property
--- a/src/cicadatiller/gateway/_node.py
+++ b/src/cicadatiller/gateway/_node.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..cold_start import ColdAllowance
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Bounds:
@@ -18,6 +20,7 @@
         max_hold_s: Maximum time for which one order may reserve engine memory.
         hold_after_use_s: Maximum time for which memory may stay reserved after its last use.
         unused_hold_s: Maximum time for which memory may be reserved without any use.
+        cold_allowance: What cold targets tolerate beyond their rate.
     """
 
     shutdown_s: float = 8.0
@@ -30,6 +33,7 @@
     max_hold_s: float = 20.0
     hold_after_use_s: float = 4.0
     unused_hold_s: float = 9.0
+    cold_allowance: ColdAllowance = ColdAllowance()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -1,9 +1,7 @@
 """Exchange of load, target health, retry use and store records between an entry and its peers."""
 
 import asyncio
-import math
-from collections.abc import Callable, Mapping
-from dataclasses import replace
+from collections.abc import Callable, Iterable, Mapping
 
 from ..channels import Transport
 from ..evidence import EvidenceExchange
@@ -15,10 +13,6 @@
     Mesh,
     RetryUse,
     StoreRecord,
-    TargetFailure,
-    TargetLeaving,
-    TargetPace,
-    TargetRate,
     TopicEra,
     TopicPage,
     TopicRequest,
@@ -31,7 +25,7 @@
 from ._ended_runs import EndedRun
 from ._followers import TopicFollower, find_follower
 from ._retry_budget import RetryBudget
-from ._target_notices import log_rate
+from ._target_sync import TargetSync
 
 MAX_UNRESPONSIVE_PEER_WORK_S = 10.0
 
@@ -54,8 +48,11 @@
         on_change: Called after peers' work was added or removed.
         on_breaker_opened: Called after the breaker of a fingerprint opened.
         on_peer_given_up: Called with the name of a peer that could not be reached for long.
+        on_peer_cold: As in `TargetSync`.
+        cold_targets: Returns the targets that are cold.
 
     Attributes:
+        targets: What is learnt of targets.
         mesh: The links to the peers.
         evidence: What is known of what crashes targets.
     """
@@ -73,6 +70,8 @@
         on_change: Callable[[], None],
         on_breaker_opened: Callable[[], None] = lambda: None,
         on_peer_given_up: Callable[[str], None] = lambda name: None,
+        on_peer_cold: Callable[[str, Target, float], None] = lambda peer, target, remaining_s: None,
+        cold_targets: Callable[[], Iterable[Target]] = tuple,
     ) -> None:
         self._board = board
         self._directory = directory
@@ -89,15 +88,18 @@
         self._pending_begun: list[str] = []
         self._pending_ended: list[str] = []
         self._pending_topic_updates: list[TopicUpdate] = []
-        self._pending_failures: list[TargetFailure] = []
-        self._pending_paces: list[TargetPace] = []
-        self._pending_leaving: list[TargetLeaving] = []
-        self._pending_rates: list[TargetRate] = []
         self._has_new_offsets = False
         self._flush_handle: asyncio.Handle | None = None
         self.evidence = EvidenceExchange(
             on_pending=self._schedule_flush, on_opened=on_breaker_opened
         )
+        self.targets = TargetSync(
+            board=board,
+            directory=directory,
+            on_pending=self._schedule_flush,
+            on_peer_cold=on_peer_cold,
+            cold=cold_targets,
+        )
         self.mesh = Mesh(greeting=greeting, transport=transport, listener=self, tasks=tasks)
         self._catch_up = CatchUp(followers=followers, request=self._request_page, tasks=tasks)
 
@@ -123,32 +125,6 @@
             self._pending_ended.append(work_id)
             self._schedule_flush()
 
-    def target_failed(self, target_id: str, reason: str, *, is_helper: bool = False) -> None:
-        """Announce to the peers that a target failed as host or as helper."""
-        failure = TargetFailure(target_id=target_id, reason=reason, is_helper=is_helper)
-        self._pending_failures.append(failure)
-        self._schedule_flush()
-
-    def target_pace_changed(self, target_id: str, pace: float) -> None:
-        """Announce to the peers the pace that a target reported."""
-        self._pending_paces.append(TargetPace(target_id=target_id, pace=pace))
-        self._schedule_flush()
-
-    def target_leaving(self, target: Target) -> None:
-        """Announce to the peers a target that stated in a response that it leaves."""
-        self._pending_leaving.append(_to_leaving(target))
-        self._schedule_flush()
-
-    def target_rate_changed(self, target: Target) -> None:
-        """Announce to the peers the rate of requests that a target takes."""
-        self._pending_rates.append(_to_rate(target))
-        self._schedule_flush()
-
-    def limited_target_used(self, target: Target) -> None:
-        """Announce to the peers an order or a report that counts against a target's rate."""
-        self._pending_rates.append(_to_rate(target, sends=1))
-        self._schedule_flush()
-
     def topic_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
         """Send to the peers the records that this entry read, so that they need not read them."""
         self._pending_topic_updates.append(_to_topic_update(topic, from_offset, page))
@@ -176,16 +152,18 @@
     def snapshot(self) -> Update:
         """Return the full state, which is sent first on each new link."""
         works = [self._to_share(work) for group in self._own_works.values() for work in group]
+        learnt = self.targets.snapshot()
         return Update(
             is_snapshot=True,
             added=tuple(works),
             retries=self._retry_use(),
             known_offsets=self.known_offsets(),
             known_eras=self.known_eras(),
-            leaving=tuple(map(_to_leaving, self._directory.announced_leaving())),
+            leaving=learnt.leaving,
             evidence=self.evidence.snapshot(),
-            rates=tuple(map(_to_rate, self._directory.limited())),
+            rates=learnt.rates,
             ended_runs=self._ended_run_uses(),
+            cold=learnt.cold,
         )
 
     def heartbeat(self) -> Update:
@@ -223,7 +201,7 @@
         now_s = self._loop.time()
         self._unheard_since_s.pop(name, None)
         self._apply_work(name, update, now_s)
-        self._apply_targets(name, update, now_s)
+        self.targets.apply(name, update)
         self.evidence.apply(name, update.evidence)
         for use in update.retries:
             self._budget.record_peer_use(name, use.service, use.requests, use.retries)
@@ -265,17 +243,6 @@
                     )
                 )
 
-    def _apply_targets(self, name: str, update: Update, now_s: float) -> None:
-        """Apply what a peer learnt of targets."""
-        for failure in update.failures:
-            self._apply_failure(name, failure, now_s)
-        for run in update.leaving:
-            self._directory.record_leaving(run.target_id, run.started_ms, source=name)
-        for rate in update.rates:
-            self._apply_rate(name, rate, now_s)
-        for paced in update.paces:
-            self._board.load(paced.target_id).record_pace(paced.pace)
-
     def peer_lost(self, name: str, *, timed_out: bool) -> None:
         """Drop the work of a peer whose inbound link was lost.
 
@@ -326,32 +293,7 @@
         for share in shares:
             target = self._directory.find(share.target_id)
             if target is not None and share.writes:
-                target.availability.rate.record_send(now_s)
-
-    def _apply_rate(self, name: str, stated: TargetRate, now_s: float) -> None:
-        availability = self._directory.availability_of(stated.target_id, stated.started_ms)
-        if availability is None:
-            return
-        rate_per_s = math.inf if stated.rate_per_s is None else stated.rate_per_s
-        was_limited = availability.rate.is_limited
-        if availability.rate.record(rate_per_s, now_s):
-            log_rate(stated.target_id, rate_per_s, source=name)
-            # Only the beginning of a limit is passed on: two contradicting values could be passed
-            # around the ring without end.
-            if not was_limited:
-                self._pending_rates.append(replace(stated, sends=0))
-                self._schedule_flush()
-        for _ in range(stated.sends):
-            availability.rate.record_send(now_s)
-
-    def _apply_failure(self, name: str, failure: TargetFailure, now_s: float) -> None:
-        target = self._directory.find(failure.target_id)
-        if target is None:
-            return
-        if failure.is_helper:
-            target.record_help_failure(now_s)
-        else:
-            target.breaker.record_peer_failure(name, now_s)
+                target.availability.record_send(now_s, is_own=False)
 
     def _apply_topic_update(self, news: TopicUpdate) -> None:
         """Apply `news`, the records of one topic that a peer read; unknown topics are ignored."""
@@ -422,42 +364,28 @@
     def _flush(self) -> None:
         self._flush_handle = None
         evidence = self.evidence.take_pending()
-        has_offsets = self._has_new_offsets or bool(self._pending_leaving) or not evidence.is_empty
-        has_offsets = has_offsets or bool(self._pending_rates)
+        learnt = self.targets.take()
+        has_offsets = self._has_new_offsets or learnt.needs_offsets or not evidence.is_empty
         update = Update(
             added=tuple(self._pending_added),
             begun=tuple(self._pending_begun),
             ended=tuple(self._pending_ended),
             news=tuple(self._pending_topic_updates),
-            failures=tuple(self._pending_failures),
-            paces=tuple(self._pending_paces),
+            failures=learnt.failures,
+            paces=learnt.paces,
             known_offsets=self.known_offsets() if has_offsets else None,
             known_eras=self.known_eras() if has_offsets else (),
-            leaving=tuple(self._pending_leaving),
+            leaving=learnt.leaving,
             evidence=evidence,
-            rates=tuple(self._pending_rates),
+            rates=learnt.rates,
+            cold=learnt.cold,
         )
         self._has_new_offsets = False
         self._pending_added, self._pending_begun, self._pending_ended = [], [], []
-        self._pending_topic_updates, self._pending_failures, self._pending_paces = [], [], []
-        self._pending_leaving, self._pending_rates = [], []
+        self._pending_topic_updates = []
         self.mesh.broadcast(update)
 
 
-def _to_leaving(target: Target) -> TargetLeaving:
-    return TargetLeaving(target_id=target.instance_id, started_ms=target.record.started_ms)
-
-
-def _to_rate(target: Target, sends: int = 0) -> TargetRate:
-    rate_per_s = target.availability.rate.rate_per_s
-    return TargetRate(
-        target_id=target.instance_id,
-        started_ms=target.record.started_ms,
-        rate_per_s=rate_per_s if rate_per_s < math.inf else None,
-        sends=sends,
-    )
-
-
 def _to_topic_update(topic: Topic, from_offset: int, page: KeyedPage) -> TopicUpdate:
     return TopicUpdate(
         topic=topic.value,
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from ..channels import Transport, split_address
+from ..cold_start import ColdTargets
 from ..egress import ConnectionPool
 from ..fleet import KeyedLog, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
@@ -124,9 +125,10 @@
             tasks=self._tasks,
         )
         self._membership = self._make_membership(log)
+        self._cold_targets = self._make_cold_targets()
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
         self._failures = TargetFailures(
-            directory=self._directory, pool=pool, listener=self.peer_sync
+            directory=self._directory, pool=pool, listener=self.peer_sync.targets
         )
         self._notices = self._make_notices(codec)
         orders.listen(self._notices.record_head_at)
@@ -252,7 +254,9 @@
             bounds=self._node.bounds,
             target_read_interval_s=self._settings.target_read_interval_s,
             on_new_table=self._apply_limits,
-            on_target_changed=self.board.forget_target,
+            on_target_changed=self._forget_target,
+            on_registered=lambda record: self._cold_targets.record_registration(record),
+            on_evacuated=self._set_evacuated,
             on_members_change=self._on_members_change,
             on_read=lambda *read: self.peer_sync.topic_read(*read),
             on_change=self._on_topic_change,
@@ -276,6 +280,18 @@
             on_change=self._wake,
             on_breaker_opened=self._refuse_waiting,
             on_peer_given_up=self._remove_member,
+            on_peer_cold=lambda *stated: self._cold_targets.apply_peer(*stated),
+            cold_targets=lambda: self._cold_targets.cold(),
+        )
+
+    def _make_cold_targets(self) -> ColdTargets:
+        return ColdTargets(
+            directory=self._directory,
+            board=self.board,
+            services=self._find_service,
+            count_users=self._count_users,
+            allowance=lambda: self._node.bounds.cold_allowance,
+            listener=self.peer_sync.targets,
         )
 
     def _make_membership(self, log: KeyedLog) -> Membership:
@@ -294,7 +310,8 @@
             directory=self._directory,
             pool=self._pool,
             board=self.board,
-            listener=self.peer_sync,
+            listener=self.peer_sync.targets,
+            cold_targets=self._cold_targets,
             on_change=self._wake,
         )
 
@@ -372,9 +389,22 @@
     def _share_rates(self) -> None:
         """Leave to the entries that are not connected their part of what targets take."""
         for target in self._directory.limited():
-            users = len(self._subset.users(target.instance_id, self._subset.entries))
-            connected = max(1, len(self._connected_users(target.instance_id)))
+            connected, users = self._count_users(target.instance_id)
             target.availability.rate.connected_share = connected / max(connected, users)
+        self._cold_targets.share()
+
+    def _count_users(self, target_id: str) -> tuple[int, int]:
+        """Return how many connected entries use a target, at least 1, and how many entries do."""
+        users = len(self._subset.users(target_id, self._subset.entries))
+        return max(1, len(self._connected_users(target_id))), users
+
+    def _forget_target(self, target_id: str) -> None:
+        self.board.forget_target(target_id)
+        self._cold_targets.forget(target_id)
+
+    def _set_evacuated(self, data_centres: frozenset[str]) -> None:
+        self._directory.set_evacuated(data_centres)
+        self._cold_targets.set_evacuated(data_centres)
 
     def _on_members_read(self) -> None:
         """Handle registrations that were read."""
@@ -456,6 +486,7 @@
             "requests_waiting": self._scheduler.waiting,
             "targets": sum(1 for _ in self._directory.targets()),
             **self._notices.gauges(),
+            **self._cold_targets.gauges(),
             "fingerprints_refused": len(self.peer_sync.evidence.breakers.open_breakers),
             "peers_heard": len(self.peer_sync.mesh.connected_peers),
             "entries_known": len(self._subset.entries),
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -408,7 +408,7 @@
         load = self._board.load(grant.host.instance_id)
         wait_s = load.prefill_wait_s(now_s)
         grant.host.breaker.record_dispatch(now_s)
-        grant.host.availability.rate.record_send(now_s)
+        grant.host.availability.record_send(now_s, is_own=True)
         self._board.add(works)
         self._listener.work_added(works)
         return replace(
--- a/src/cicadatiller/gateway/_target_notices.py
+++ b/src/cicadatiller/gateway/_target_notices.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from ..cold_start import ColdTargets
 from ..egress import ConnectionPool, ResponseHead
 from ..fleet import Target, TargetDirectory
 from ..kernel import Event, log_event
@@ -46,6 +47,7 @@
         pool: The connections to targets; the idle ones to leaving targets are closed.
         board: The load of each target.
         listener: Receives what the peers have to know.
+        cold_targets: Gets the statements of targets that are cold.
         on_change: Called after a target began to refuse new work.
     """
 
@@ -57,6 +59,7 @@
         pool: ConnectionPool,
         board: LoadBoard,
         listener: NoticeListener,
+        cold_targets: ColdTargets,
         on_change: Callable[[], None],
     ) -> None:
         self._codec = codec
@@ -64,6 +67,7 @@
         self._pool = pool
         self._board = board
         self._listener = listener
+        self._cold_targets = cold_targets
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
 
@@ -129,6 +133,8 @@
             self._record_quiet(target, notice.quiet_s)
         if notice.rate_per_s is not None:
             self._record_rate(target, notice.rate_per_s, sent_s)
+        if notice.cold_s > 0:
+            self._cold_targets.record_statement(target, notice.cold_s)
 
     def _record_rate(self, target: Target, rate_per_s: float, sent_s: float) -> None:
         if not target.availability.rate.record(rate_per_s, self._loop.time(), sent_s=sent_s):
--- a/src/cicadatiller/gateway/_target_sink.py
+++ b/src/cicadatiller/gateway/_target_sink.py
@@ -42,6 +42,7 @@
         directory: The known targets.
         unreadable: Keeps the keys whose record can't be decoded.
         on_new_run: Called with the instance id of each new run of a target.
+        on_registered: Called with each registration that was applied.
         on_removed: Called with the instance id of each target that was removed.
     """
 
@@ -52,12 +53,14 @@
         directory: TargetDirectory,
         unreadable: UnreadableRecords,
         on_new_run: Callable[[str], None],
+        on_registered: Callable[[TargetRecord], None] = lambda record: None,
         on_removed: Callable[[str], None],
     ) -> None:
         self._decoder = decoder
         self._directory = directory
         self._unreadable = unreadable
         self._on_new_run = on_new_run
+        self._on_registered = on_registered
         self._on_removed = on_removed
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         # The last registrations of targets that left, in the order in which they did.
@@ -222,6 +225,7 @@
         self._departures.pop(target.instance_id, None)
         if self._directory.put(target):
             self._on_new_run(target.instance_id)
+        self._on_registered(target)
 
     def _apply_removal(self, instance_id: str, grace_s: float) -> None:
         target = self._directory.find(instance_id)
--- a/src/cicadatiller/gateway/_topics.py
+++ b/src/cicadatiller/gateway/_topics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..evacuation import EvacuationSink
-from ..fleet import KeyedLog, KeyedPage, TargetDirectory, Topic
+from ..fleet import KeyedLog, KeyedPage, TargetDirectory, TargetRecord, Topic
 from ..routes import RouteTable
 from ._combined_sink import CombinedSink
 from ._followers import TopicFollower
@@ -30,12 +30,14 @@
     Args:
         log: The store.
         decoder: Decodes documents.
-        directory: Gets the targets, and which data centres are evacuated.
+        directory: Gets the targets.
         bounds: The limits of the deployment.
         target_read_interval_s: The age of the last read of the targets' registrations at which this
             entry reads them again; 0 to derive it from the bounds.
         on_new_table: Called with each configuration that becomes the current one.
         on_target_changed: Called with the instance id of each run of a target that is new or gone.
+        on_registered: Called with each registration of a target that was applied.
+        on_evacuated: Called with the evacuated data centres when they have changed.
         on_members_change: Called after the registered entries have changed.
         on_read: Called with the topic, the first offset and the page of each read of the targets.
         on_change: Called with the topic after records of it were applied.
@@ -57,6 +59,8 @@
         target_read_interval_s: float,
         on_new_table: Callable[[RouteTable], None],
         on_target_changed: Callable[[str], None],
+        on_registered: Callable[[TargetRecord], None],
+        on_evacuated: Callable[[frozenset[str]], None],
         on_members_change: Callable[[], None],
         on_read: Callable[[Topic, int, KeyedPage], None],
         on_change: Callable[[Topic], None],
@@ -67,7 +71,7 @@
         self._unreadable = {topic: UnreadableRecords() for topic in (Topic.TARGETS, Topic.MEMBERS)}
         self.configuration = ConfigurationSink(decoder=decoder, on_change=on_new_table)
         self.evacuations = EvacuationSink(
-            find_data_centre=decoder.find_evacuated, on_change=directory.set_evacuated
+            find_data_centre=decoder.find_evacuated, on_change=on_evacuated
         )
         self.members = MemberSink(
             on_change=on_members_change, unreadable=self._unreadable[Topic.MEMBERS]
@@ -77,6 +81,7 @@
             directory=directory,
             unreadable=self._unreadable[Topic.TARGETS],
             on_new_run=on_target_changed,
+            on_registered=on_registered,
             on_removed=on_target_changed,
         )
         self.followers = {
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -64,16 +64,19 @@
         quiet_s: The time for which it wants no request from this entry; 0 if it states none.
         rate_per_s: The requests a second that it takes from all entries together; infinite if it
             states no limit, None if it states one that can't be read.
+        cold_s: The time for which it stays cold; 0 if it states none.
     """
 
     is_leaving: bool = False
     quiet_s: float = 0.0
     rate_per_s: float | None = math.inf
+    cold_s: float = 0.0
 
     @property
     def is_empty(self) -> bool:
         """Return whether the response states nothing."""
-        return not self.is_leaving and self.quiet_s <= 0 and self.rate_per_s == math.inf
+        has_limit = self.quiet_s > 0 or self.rate_per_s != math.inf or self.cold_s > 0
+        return not self.is_leaving and not has_limit
 
 
 class WireCodec(Protocol):
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -80,6 +80,11 @@
         "info",
         "The rate of requests that a target takes from all entries changed.",
     )
+    TARGET_COLD = (
+        416,
+        "info",
+        "A target is cold for some time and takes a limited rate of requests meanwhile.",
+    )
     ORPHAN_CANCELLED = (403, "warning", "A stream or export without an owner was removed.")
     GANG_RESERVED = (410, "info", "A gang of engines was reserved for one prompt.")
     GANG_RELEASED = (411, "info", "A gang of engines was released.")
--- a/src/cicadatiller/mesh/_compact.py
+++ b/src/cicadatiller/mesh/_compact.py
@@ -18,6 +18,7 @@
     EndedRunUse,
     RetryUse,
     StoreRecord,
+    TargetCold,
     TargetFailure,
     TargetLeaving,
     TargetPace,
@@ -28,13 +29,14 @@
     WorkShare,
 )
 
-FIELD_COUNT = 14
+FIELD_COUNT = 15
 OFFSETS_FIELD = 8
 ERAS_FIELD = 9
 LEAVING_FIELD = 10
 EVIDENCE_FIELD = 11
 RATES_FIELD = 12
 ENDED_RUNS_FIELD = 13
+COLD_FIELD = 14
 # The fields of a topic's row before the era, which older versions neither send nor read.
 TOPIC_FIELDS_WITHOUT_ERA = 4
 MS_PER_S = 1_000
@@ -75,6 +77,7 @@
             [e.entry, e.run, e.service, e.requests, e.retries, _ms(e.age_s)]
             for e in update.ended_runs
         ],
+        [[c.target_id, c.started_ms, _ms(c.remaining_s)] for c in update.cold],
     ]
     while fields[-1] in (None, []):
         fields.pop()
@@ -121,6 +124,10 @@
                 for row in padded[RATES_FIELD]
             ),
             ended_runs=tuple(map(_to_ended_run, padded[ENDED_RUNS_FIELD])),
+            cold=tuple(
+                TargetCold(target_id=row[0], started_ms=row[1], remaining_s=row[2] / MS_PER_S)
+                for row in padded[COLD_FIELD]
+            ),
         )
     except (ArithmeticError, AttributeError, LookupError, TypeError) as error:
         raise ValueError(f"compact update is malformed: {error!r}") from error
--- a/src/cicadatiller/mesh/_messages.py
+++ b/src/cicadatiller/mesh/_messages.py
@@ -161,6 +161,21 @@
     sends: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetCold:
+    """A target that stated that it is cold.
+
+    Attributes:
+        target_id: The instance id of the target.
+        started_ms: The start time of the run; see `TargetRecord`.
+        remaining_s: The time for which it stays cold.
+    """
+
+    target_id: str
+    started_ms: int
+    remaining_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LostRequest:
     """A request that was lost with its target.
@@ -294,6 +309,7 @@
         evidence: What crashes targets; with `known_offsets`, as `leaving`.
         rates: Targets that limit their requests; with `known_offsets`, as `leaving`.
         ended_runs: The use of runs of entries that ended lately; only in snapshots.
+        cold: Targets that are cold; with `known_offsets`, as `leaving`.
     """
 
     is_snapshot: bool = False
@@ -310,6 +326,7 @@
     evidence: Evidence = Evidence()
     rates: tuple[TargetRate, ...] = ()
     ended_runs: tuple[EndedRunUse, ...] = ()
+    cold: tuple[TargetCold, ...] = ()
 
 
 @message("mesh-load", body_field="fields")
--- a/src/cicadatiller/platform/_documents.py
+++ b/src/cicadatiller/platform/_documents.py
@@ -124,6 +124,8 @@
         health_path=row.get("health_path") or "/health",
         max_connections=get_integer(row, "max_connections", 100),
         engine=None if not engine else _decode_engine(engine),
+        cold_start_s=get_number(row, "cold_start_s", 0),
+        cold_rate_per_s=get_number(row, "cold_per_s", 0),
     )
 
 
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -40,6 +40,7 @@
 LEAVING_VALUE = b"1"
 # The requests a second that the target takes from all entries together, while it says so.
 LIMIT = b"server-limit"
+COLD_MS = b"cold-ms"
 RETRY_AFTER = b"Retry-After"
 # In a target's response, only seconds count: a date depends on the clocks of two instances.
 DECIMAL_PATTERN = re.compile(rb"\d+(\.\d+)?")
@@ -130,6 +131,7 @@
             is_leaving=(head.find(LEAVING) or b"").strip() == LEAVING_VALUE,
             quiet_s=_parse_quiet_s(head),
             rate_per_s=_parse_rate(head),
+            cold_s=(_parse_number(head.find(COLD_MS) or b"") or 0.0) / 1000,
         )
 
     def blamed_address(self, head: ResponseHead) -> str:
--- a/src/cicadatiller/platform/_settings.py
+++ b/src/cicadatiller/platform/_settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..cold_start import ColdAllowance
 from ..gateway import Bounds, NodeSettings
 
 MAX_PORT = 65_535
@@ -74,6 +75,10 @@
             retry_window_s=bounds.number("budget_window_s"),
             max_hold_s=bounds.number("hold_max_ms", 20_000) / 1000,
             hold_after_use_s=bounds.number("free_ms", 4_000) / 1000,
+            cold_allowance=ColdAllowance(
+                overshoot=bounds.number("cold_overshoot", 1.0),
+                slack=bounds.number("cold_slack", 1.0),
+            ),
             unused_hold_s=bounds.number("idle_max_ms", 9_000) / 1000,
         ),
     )
--- a/src/cicadatiller/routes/_types.py
+++ b/src/cicadatiller/routes/_types.py
@@ -112,12 +112,17 @@
         health_path: The path of the health check.
         max_connections: The number of connections that one target accepts from all clients.
         engine: The performance model of the engines; None if the targets are not engines.
+        cold_start_s: The time for which a target is cold after its start.
+        cold_rate_per_s: The requests a second that a cold target tolerates from all entries; 0 if
+            it is not limited.
     """
 
     name: str
     health_path: str = "/health"
     max_connections: int = 100
     engine: EngineModel | None = None
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -177,6 +177,7 @@
         is_leaving: Whether all responses state that it leaves.
         retry_after: The Retry-After value of its responses with status 503; None for no header.
         limit: The Server-Limit value of all its responses; None for no header.
+        cold_ms: The Cold-Ms value of all its responses; None for no header.
         is_ticket_used: Called with the name of a reservation; returns whether a request uses it.
         report_status: The status of its reports.
         received: The requests of all kinds that reached it, as (loop time, path).
@@ -212,6 +213,7 @@
         self.is_leaving = False
         self.retry_after = None
         self.limit = None
+        self.cold_ms = None
         self.is_ticket_used = lambda name: False
         self.report_status = 200
         self.received = []
@@ -313,6 +315,8 @@
             headers += ((b"Retry-After", self.retry_after),)
         if self.limit is not None:
             headers += ((b"Server-Limit", self.limit),)
+        if self.cold_ms is not None:
+            headers += ((b"Cold-Ms", self.cold_ms),)
         return headers
 
     async def _refuse(self, headers, status, responder, blamed=""):
