Memory budget: what connections hold together is bounded, and so are their descriptors

Change: MemoryBudget counts what each connection holds; callers that make no progress give way, then new long requests are refused before they are read; a body is held once. Callers, readiness and metrics have their part of the sockets, and a stalled connection is closed for a new one. Settings max_connections_per_host, max_held_bytes, send_timeout_s; event 215; metrics held_bytes, held_refused, connections_evicted.

--- a/src/cicadatiller/cold_start/_tracker.py
+++ b/src/cicadatiller/cold_start/_tracker.py
@@ -119,7 +119,7 @@
     def cold(self) -> list[Target]:
         """Return the targets that are cold."""
         now_s = self._loop.time()
-        return [t for t in self._directory.targets() if t.availability.cold_start.is_cold(now_s)]
+        return [t for t in self._directory.targets() if t.availability.is_cold(now_s)]
 
     def gauges(self) -> dict[str, float]:
         """Return the number of cold targets."""
--- a/src/cicadatiller/egress/__init__.py
+++ b/src/cicadatiller/egress/__init__.py
@@ -8,7 +8,7 @@
 from ._keepalive import TcpKeepalive, configure_keepalive
 from ._matcher import ExchangeHistory, ResponseMatch, ResponseMatcher, Substitute
 from ._pool import ConnectionPool, PoolLimits
-from ._request import render_request
+from ._request import render_request, render_request_head
 from ._response import ResponseHead
 
 __all__ = [
@@ -30,4 +30,5 @@
     "configure_keepalive",
     "open_connection",
     "render_request",
+    "render_request_head",
 ]
--- a/src/cicadatiller/egress/_buffers.py
+++ b/src/cicadatiller/egress/_buffers.py
@@ -1,5 +1,7 @@
 """Limits the memory of response bodies that are read whole."""
 
+from collections.abc import Callable
+
 from ._errors import MalformedResponseError
 
 # Covers usual responses, so that those pass while endless bodies use up the shared bytes.
@@ -17,15 +19,20 @@
 
     Attributes:
         held_bytes: The sum of what they hold beyond it now.
+        relieve: Called with the bytes that are missing when too few are left, so that those who
+            keep bodies from ending can be closed.
     """
 
     def __init__(self, *, shared_bytes: int = SHARED_BYTES) -> None:
         self.held_bytes = 0
+        self.relieve: Callable[[int], None] = lambda missing_bytes: None
         self._shared_bytes = shared_bytes
 
     def try_hold(self, size_bytes: int) -> bool:
         """Hold more of the shared bytes; return False if too few are left."""
-        if self.held_bytes + size_bytes > self._shared_bytes:
+        missing_bytes = self.held_bytes + size_bytes - self._shared_bytes
+        if missing_bytes > 0:
+            self.relieve(missing_bytes)
             return False
         self.held_bytes += size_bytes
         return True
--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -25,6 +25,9 @@
 MAX_PART_BYTES = 4 * 1024
 BODY_TIMEOUT_S = 5.0
 WRITE_HIGH_WATER_BYTES = 256 * 1024
+# Longer bodies are written in parts of this size as the server takes them, since what a transport
+# can't send at once it copies.
+WRITE_PART_BYTES = 64 * 1024
 
 FIRST_FINAL_STATUS = 200
 # Of data that belongs to no exchange, what a log line repeats.
@@ -97,6 +100,7 @@
         self._has_head = False
         self._reads_until_close = False
         self._write_paused = False
+        self._unsent = memoryview(b"")
         self._matcher: ResponseMatcher | None = None
         self._on_stray = on_stray
         self._has_strays = False
@@ -159,8 +163,9 @@
         self._write_paused = True
 
     def resume_writing(self) -> None:
-        """Record that the write buffer has drained."""
+        """Write more of the request, as the write buffer has drained."""
         self._write_paused = False
+        self._write_body()
 
     def on_message_begin(self) -> None:
         """Start a response."""
@@ -231,13 +236,15 @@
         request: bytes,
         *,
         matcher: ResponseMatcher,
+        body: bytes = b"",
         is_head_request: bool = False,
         discard: DiscardPolicy | None = None,
     ) -> None:
         """Send a request.
 
         Args:
-            request: The request with its head and body.
+            request: The request with its head, and its body unless that is given apart.
+            body: The body if it is not in `request`; it is not copied.
             matcher: Tells the response to this exchange from others. A response to another exchange
                 is discarded; one that matches none fails this exchange.
             is_head_request: Whether the method is HEAD, so that the response ends with its head.
@@ -263,7 +270,13 @@
         self._reads_until_close = False
         self._limits = ResponseLimits()
         self._inner_head_search = InnerHeadSearch(header_names=matcher.inner_headers(self.history))
-        self._require_transport().write(request)
+        transport = self._require_transport()
+        if len(body) <= WRITE_PART_BYTES:
+            transport.write(request + body)
+            return
+        transport.write(request)
+        self._unsent = memoryview(body)
+        self._write_body()
 
     @property
     def is_readable(self) -> bool:
@@ -346,9 +359,17 @@
     def close(self) -> None:
         """Abort the connection, by which the server detects that the request was abandoned."""
         self.is_open = False
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
+    def _write_body(self) -> None:
+        """Write parts of the body until the write buffer is full."""
+        transport = self._require_transport()
+        while self._unsent and not self._write_paused and self.is_open:
+            part, self._unsent = self._unsent[:WRITE_PART_BYTES], self._unsent[WRITE_PART_BYTES:]
+            transport.write(part)
+
     @property
     def _may_carry_more(self) -> bool:
         """Return whether the responses to later exchanges can be told from those until now."""
--- a/src/cicadatiller/fleet/_availability.py
+++ b/src/cicadatiller/fleet/_availability.py
@@ -34,7 +34,6 @@
             final for the run; a registration does not undo it.
         is_evacuated: Whether the operator has evacuated the target's data centre.
         rate: The rate of requests that it takes from all entries together.
-        cold_start: Whether it is cold, and the rate that it takes meanwhile.
     """
 
     def __init__(self, *, registered_state: TargetState = TargetState.READY) -> None:
@@ -42,11 +41,25 @@
         self.has_announced_leaving = False
         self.is_evacuated = False
         self.rate = StatedRate()
-        self.cold_start = ColdStart()
+        # Made when the target turns cold, as it takes more memory than all else of a target.
+        self._cold_start: ColdStart | None = None
         self._quiet_until_s = -math.inf
         self._quiet_requests = 0
         self._help_backoff_until_s = -math.inf
 
+    @property
+    def cold_start(self) -> ColdStart:
+        """Return for how long the target is cold, and the rate that it takes meanwhile."""
+        if self._cold_start is None:
+            self._cold_start = ColdStart()
+        return self._cold_start
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the target is cold now."""
+        if self._cold_start is not None and not self._cold_start.is_cold(now_s):
+            self._cold_start = None
+        return self._cold_start is not None
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the target gets no new work any more."""
@@ -56,17 +69,16 @@
         """Return the loop time from which the target may get new work, infinite if never."""
         if self.is_leaving or self.is_evacuated:
             return math.inf
-        return max(
-            now_s,
-            self._quiet_until_s,
-            self.rate.next_send_s(now_s),
-            self.cold_start.next_send_s(now_s),
-        )
+        from_s = max(now_s, self._quiet_until_s, self.rate.next_send_s(now_s))
+        if self._cold_start is not None:
+            from_s = max(from_s, self._cold_start.next_send_s(now_s))
+        return from_s
 
     def record_send(self, now_s: float, *, is_own: bool) -> None:
         """Record a request to the target, of this entry or of a connected one."""
         self.rate.record_send(now_s)
-        self.cold_start.record_send(now_s, is_own=is_own)
+        if self._cold_start is not None:
+            self._cold_start.record_send(now_s, is_own=is_own)
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the target wants new work now, at whatever rate.
--- a/src/cicadatiller/fleet/_stated_rate.py
+++ b/src/cicadatiller/fleet/_stated_rate.py
@@ -27,6 +27,9 @@
             included.
     """
 
+    # There is one for each target, and most are never used.
+    __slots__ = ("_spent_until_s", "_stated_s", "burst_s", "connected_share", "rate_per_s")
+
     def __init__(self) -> None:
         self.rate_per_s = math.inf
         self.burst_s = BURST_S
--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -218,6 +218,7 @@
             connection.start(
                 self._encode(),
                 matcher=self._matcher,
+                body=self._job.request.body,
                 is_head_request=self._job.request.method == b"HEAD",
                 discard=DiscardPolicy(
                     timeout_s=max(MIN_DISCARD_TIMEOUT_S, self._head_timeout_s()),
--- a/src/cicadatiller/gateway/_node.py
+++ b/src/cicadatiller/gateway/_node.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..cold_start import ColdAllowance
+from ..memory_budget import ProcessLimits
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,6 +49,7 @@
         readiness_address: Address of the platform's readiness checks, "host:port".
         peer_port: Port for links of other entries, the same on all instances.
         store_address: Address of the platform's store, "host:port".
+        limits: The memory and descriptors of the process.
         bounds: The limits of the deployment.
     """
 
@@ -58,6 +60,7 @@
     readiness_address: str
     peer_port: int
     store_address: str
+    limits: ProcessLimits = ProcessLimits()
     bounds: Bounds = Bounds()
 
     @property
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -12,6 +12,7 @@
 from ..fleet import KeyedLog, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
+from ..memory_budget import MemoryBudget
 from ..mesh import COMPACT_PROTOCOL, Greeting
 from ..placement import LoadBoard
 from ..routes import RouteTable, Service
@@ -40,6 +41,7 @@
 from ._status import StatusServer
 from ._target_failures import TargetFailures
 from ._target_notices import TargetNotices
+from ._target_users import TargetUsers
 from ._tickets import ReservationManager
 from ._topics import StoreTopics
 from ._wire import WireCodec
@@ -102,6 +104,10 @@
         self._run_id = f"{node.name}-{new_incarnation()[:RUN_ID_DIGITS]}"
         self._metrics = GatewayMetrics()
         self._stall = StallWatch()
+        self._memory = MemoryBudget(
+            limit_bytes=self._settings.max_held_bytes or node.limits.held_bytes
+        )
+        pool.buffers.relieve = self._relieve_memory
         self._synced = asyncio.Event()
         self._figures = FiguresLog(metrics=self._metrics, gauges=self._gauges)
         self._ends_at_s = math.inf
@@ -117,6 +123,11 @@
         )
         self._topics = self._make_topics(log, decoder)
         self.peer_sync = self._make_peer_sync(transport)
+        self._users = TargetUsers(
+            name=node.name,
+            subset=self._subset,
+            connected_peers=lambda: self.peer_sync.mesh.connected_peers,
+        )
         self._guard = RequestGuard(
             name=node.name,
             breakers=self.peer_sync.evidence.breakers,
@@ -136,12 +147,17 @@
         self._scheduler = self._make_scheduler()
         self._caller_server = IngressServer(
             handler=self._make_handler(codec).handle,
-            max_connections=self._settings.max_caller_connections,
+            max_connections=node.limits.caller_connections(self._settings.max_caller_connections),
+            max_per_host=self._settings.max_connections_per_host,
+            memory=self._memory,
+            send_timeout_s=self._settings.send_timeout_s,
         )
         self._status_server = StatusServer(
             is_ready=self._synced.is_set,
             exposition=Exposition(metrics=self._metrics, gauges=self._gauges, infos=self._infos),
             metrics_path=self._settings.metrics_path,
+            max_connections=node.limits.status_connections,
+            memory=self._memory,
         )
 
     @property
@@ -236,7 +252,8 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._pool.close_expired()
             self._notices.close_idle()
-            self._share_rates()
+            self._users.share_stated_rates(self._directory)
+            self._cold_targets.share()
             self._figures.log_if_due()
             if self._loop.time() >= next_selection_s:
                 next_selection_s += PEER_SELECTION_INTERVAL_S
@@ -289,7 +306,7 @@
             directory=self._directory,
             board=self.board,
             services=self._find_service,
-            count_users=self._count_users,
+            count_users=self._users.count,
             allowance=lambda: self._node.bounds.cold_allowance,
             listener=self.peer_sync.targets,
         )
@@ -322,7 +339,7 @@
             orders=orders,
             tasks=self._tasks,
             is_engine=self._is_engine,
-            users=self._connected_users,
+            users=self._users.connected,
             on_pace=self._notices.record_pace,
             on_unresponsive=self._failures.record_unresponsive,
         )
@@ -335,7 +352,7 @@
             spare_targets=self._directory.targets_of,
             board=self.board,
             unknown_requests=self._make_contention().unknown_requests,
-            may_place=SlotArbiter(name=self._node.name, users=self._connected_users).may_place,
+            may_place=SlotArbiter(name=self._node.name, users=self._users.connected).may_place,
         )
         return Scheduler(
             owner=self._run_id,
@@ -381,22 +398,8 @@
             rng=random.Random(),
         )
 
-    def _connected_users(self, target_id: str) -> list[str]:
-        """Return the connected entries that use a target, this one included."""
-        entries = (self._node.name, *self.peer_sync.mesh.connected_peers)
-        return self._subset.users(target_id, entries)
-
-    def _share_rates(self) -> None:
-        """Leave to the entries that are not connected their part of what targets take."""
-        for target in self._directory.limited():
-            connected, users = self._count_users(target.instance_id)
-            target.availability.rate.connected_share = connected / max(connected, users)
-        self._cold_targets.share()
-
-    def _count_users(self, target_id: str) -> tuple[int, int]:
-        """Return how many connected entries use a target, at least 1, and how many entries do."""
-        users = len(self._subset.users(target_id, self._subset.entries))
-        return max(1, len(self._connected_users(target_id))), users
+    def _relieve_memory(self, needed_bytes: int) -> None:
+        self._memory.relieve(needed_bytes, self._loop.time())
 
     def _forget_target(self, target_id: str) -> None:
         self.board.forget_target(target_id)
@@ -481,6 +484,9 @@
             "task_failures": self._tasks.failures.total(),
             "config_version": self.config_version,
             "requests_in_evacuated": self._count_requests_in_evacuated(),
+            "held_bytes": self._memory.held_bytes,
+            "held_refused": self._memory.refused,
+            "connections_evicted": self._memory.evicted,
             "caller_connections": self._caller_server.open_connections,
             "caller_connections_idle_closed": self._caller_server.idle_closed,
             "requests_waiting": self._scheduler.waiting,
--- a/src/cicadatiller/gateway/_settings.py
+++ b/src/cicadatiller/gateway/_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..ingress import MAX_CONNECTIONS
+from ..ingress import MAX_CONNECTIONS, SEND_TIMEOUT_S
 from ..kernel import above_zero, check_values, not_negative
 from ._weights import WorthWeights
 
@@ -22,7 +22,14 @@
             entry or a peer, at which this entry reads them from the store again; 0 for a quarter of
             the time for which a leaving target may still receive requests.
         max_caller_connections: How many connections of callers may be open at once; further ones
-            are closed unread.
+            are closed unread, unless others make no progress. A quarter of the process's
+            sockets at most.
+        max_connections_per_host: How many of them may come from one host address; 0 for no limit,
+            as a load balancer may stand in front.
+        max_held_bytes: How much connections may hold together, in requests and in responses that
+            callers have not taken; 0 to derive it from the process's memory.
+        send_timeout_s: A connection is closed if its caller takes nothing of a response for this
+            time.
     """
 
     metrics_port: int = DEFAULT_METRICS_PORT
@@ -30,6 +37,9 @@
     weights: WorthWeights = field(default_factory=WorthWeights)
     target_read_interval_s: float = 0.0
     max_caller_connections: int = MAX_CONNECTIONS
+    max_connections_per_host: int = 0
+    max_held_bytes: float = 0.0
+    send_timeout_s: float = SEND_TIMEOUT_S
 
     def __post_init__(self) -> None:
         check_values(
@@ -37,4 +47,7 @@
             metrics_path="" if self.metrics_path.startswith("/") else "must begin with a slash",
             target_read_interval_s=not_negative(self.target_read_interval_s),
             max_caller_connections=above_zero(self.max_caller_connections),
+            max_connections_per_host=not_negative(self.max_connections_per_host),
+            max_held_bytes=not_negative(self.max_held_bytes),
+            send_timeout_s=above_zero(self.send_timeout_s),
         )
--- a/src/cicadatiller/gateway/_status.py
+++ b/src/cicadatiller/gateway/_status.py
@@ -3,9 +3,12 @@
 from collections.abc import Callable
 
 from ..channels import split_address
-from ..ingress import IngressServer, Request, Responder, Response
+from ..ingress import IngressLimits, IngressServer, Request, Responder, Response
+from ..memory_budget import MemoryBudget
 from ._exposition import CONTENT_TYPE, Exposition
 
+# Checks and readers of metrics send no bodies.
+STATUS_LIMITS = IngressLimits(max_body_bytes=1024)
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -18,20 +21,35 @@
         is_ready: Returns whether the entry can serve callers.
         exposition: Renders the metrics.
         metrics_path: The path of the metrics endpoint.
+        max_connections: How many connections each listener may have open.
+        memory: Limits what the connections hold.
 
     Attributes:
         is_stopping: Whether the process is shutting down; if so, it reports not ready.
     """
 
     def __init__(
-        self, *, is_ready: Callable[[], bool], exposition: Exposition, metrics_path: str
+        self,
+        *,
+        is_ready: Callable[[], bool],
+        exposition: Exposition,
+        metrics_path: str,
+        max_connections: int,
+        memory: MemoryBudget,
     ) -> None:
         self.is_stopping = False
         self._is_ready = is_ready
         self._exposition = exposition
         self._metrics_path = metrics_path.encode()
-        self._readiness = IngressServer(handler=self._serve_readiness)
-        self._metrics = IngressServer(handler=self._serve_metrics)
+        self._readiness, self._metrics = (
+            IngressServer(
+                handler=handler,
+                limits=STATUS_LIMITS,
+                max_connections=max_connections,
+                memory=memory,
+            )
+            for handler in (self._serve_readiness, self._serve_metrics)
+        )
 
     async def start(self, readiness_address: str, host: str, metrics_port: int) -> None:
         """Start listening; the metrics endpoint is disabled if `metrics_port` is 0."""
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -86,7 +86,7 @@
         """Decode a caller's headers; unreadable fields get their defaults."""
 
     def encode_request(self, request: Request, fields: TargetFields) -> bytes:
-        """Return the bytes of a request to a target."""
+        """Return the head of a request to a target."""
 
     def match_request(self, request_id: str) -> ResponseMatcher:
         """Return the matcher of a target's response to a request."""
--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -2,32 +2,42 @@
 
 import asyncio
 import enum
-import select
+import random
 import socket
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
-from typing import Protocol
+from collections.abc import Awaitable, Callable
 
 from ..kernel import Event, log_event
+from ..memory_budget import MemoryBudget
 from ._limits import IngressLimits
 from ._parser import BadRequestError, RequestParser
+from ._peer_close import has_peer_closed
 from ._request import Header, Request
+from ._responder import ConnectionResponder, Responder
 from ._response import (
     CONTINUE,
-    LAST_CHUNK,
     Response,
-    render_chunk,
     render_response,
-    render_stream_head,
 )
 
 REQUEST_TIMEOUT = 408
+UNAVAILABLE = 503
+# A refusal for lack of room states this time to come back, and up to as much again, so that those
+# who were refused together don't return together.
+ROOM_RETRY_S = 1.0
+# What a connection takes in memory without a request.
+CONNECTION_BYTES = 12 * 1024
 MAX_PENDING_REQUESTS = 8
 MAX_PENDING_BODY_BYTES = 256 * 1024
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 BODY_TIMEOUT_S = 10.0
+# After a refusal, what the caller still sends is read and dropped until it pauses for so long, or
+# until a longer time has passed.
 LINGER_S = 0.2
+MAX_LINGER_S = 2.0
+# While a caller has not taken a response, it is checked in this interval whether it takes any of it.
+OUTPUT_CHECK_INTERVAL_S = 1.0
 # While reading is paused the end of a connection isn't read, and is looked for in this interval.
 CLOSE_CHECK_INTERVAL_S = 0.2
 # Values of SO_LINGER: whether it is on, and for how many seconds.
@@ -35,37 +45,6 @@
 CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
 
 
-class Responder(Protocol):
-    """Writes the response to one request."""
-
-    @property
-    def has_begun(self) -> bool:
-        """Return whether writing the response has begun."""
-
-    async def answer(self, answer: Response) -> None:
-        """Write a complete response.
-
-        Raises:
-            RuntimeError: If a response has begun already.
-        """
-
-    async def start_stream(self, status: int, headers: Iterable[Header]) -> None:
-        """Write the head of a response whose body is sent in parts.
-
-        Raises:
-            RuntimeError: If a response has begun already.
-        """
-
-    async def send(self, data: bytes) -> None:
-        """Write a part of the body; waits while the write buffer is full."""
-
-    async def finish(self) -> None:
-        """Write the end of the body."""
-
-    def abort(self) -> None:
-        """Abort the connection, so that the response can't be mistaken for a complete one."""
-
-
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
@@ -88,8 +67,12 @@
         limits: Returns the current limits.
         on_open: Called with the connection once it is open; returns whether it may stay open.
         on_close: Called with the connection once it is closed.
+        memory: Limits what the connections of the process hold together.
+        send_timeout_s: The connection is closed if its caller takes nothing of a response for this
+            time.
 
     Attributes:
+        holding: What it holds.
         is_busy: Whether a request is being handled.
         was_idle_too_long: Whether the connection was closed because no request came in time.
     """
@@ -101,6 +84,8 @@
         limits: Callable[[], IngressLimits],
         on_open: Callable[["IngressConnection"], bool],
         on_close: Callable[["IngressConnection"], None],
+        memory: MemoryBudget,
+        send_timeout_s: float,
     ) -> None:
         self.is_busy = False
         self.was_idle_too_long = False
@@ -114,6 +99,14 @@
         self._wake = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._memory = memory
+        self._send_timeout_s = send_timeout_s
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self.holding = memory.open(self._evict, self._loop.time())
+        self._handled_bytes = 0
+        self._received_s = 0.0
+        self._output_check: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._wait: _Wait | None = None
@@ -139,6 +132,9 @@
         self._has_ended = True
         self._update_timer()
         self._end_close_check()
+        if self._output_check is not None:
+            self._output_check.cancel()
+        self._memory.close(self.holding)
         self._parser.close()
         self._pending.clear()
         self._writable.set()
@@ -154,7 +150,14 @@
         """Parse data from the caller and queue the complete requests."""
         if self._has_ended:
             return
-        self._pending.extend(self._parser.feed(data, self._loop.time()))
+        self._received_s = self._loop.time()
+        was_within_head = self._parser.is_within_head
+        completed = self._parser.feed(data, self._received_s)
+        self._pending.extend(completed)
+        # A head is short, so one that comes in parts is no progress.
+        if completed or not (was_within_head and self._parser.is_within_head):
+            self.holding.progress_s = self._received_s
+        self._update_input()
         if self._pending or self._parser.error is not None:
             self._wake.set()
         self._continue_if_due()
@@ -180,7 +183,7 @@
             self.close()
 
     def close(self) -> None:
-        """Close once all written data has been sent."""
+        """Close once all written data has been sent, or its caller takes nothing of it."""
         self._has_ended = True
         if self._transport is not None:
             self._transport.close()
@@ -195,6 +198,12 @@
         """Return whether the connection closes after the response to a request."""
         return not request.keep_alive or (self._is_draining and not self._pending)
 
+    @property
+    def caller_host(self) -> str:
+        """Return the host address of the caller; empty if it is unknown."""
+        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return str(peer[0]) if isinstance(peer, tuple) else ""
+
     def set_reset_on_close(self, resets: bool) -> None:
         """Choose whether the system resets the connection however it closes, a kill included."""
         sock = self._transport.get_extra_info("socket") if self._transport is not None else None
@@ -219,16 +228,19 @@
 
     async def _serve_next(self) -> None:
         request = self._pending.popleft()
-        self.is_busy = True
+        self.is_busy = self.holding.is_handled = True
+        self._handled_bytes = request.held_bytes
         # Reading goes on while the request is handled, so that the caller's close is seen.
         self._update_reading()
         self._update_timer()
-        responder = _Responder(connection=self, request=request)
+        responder = ConnectionResponder(connection=self, request=request)
         try:
             await self._handler(request, responder)
         except Exception as error:
             log_event(Event.TASK_FAILED, task="request", error=repr(error))
-        self.is_busy = False
+        self.is_busy = self.holding.is_handled = False
+        self.holding.progress_s = self._loop.time()
+        self._handled_bytes = 0
         if not responder.is_complete:
             log_event(
                 Event.RESPONSE_CUT,
@@ -240,6 +252,7 @@
         elif responder.closes or (self._is_draining and not self._pending):
             self.close()
         else:
+            self._update_input()
             self._continue_if_due()
             self._update_timer()
 
@@ -275,7 +288,7 @@
         self._close_check = None
         if self._has_ended or self._transport is None:
             return
-        if _has_peer_closed(self._transport.get_extra_info("socket")):
+        if has_peer_closed(self._transport.get_extra_info("socket")):
             self.abort()
             return
         self._schedule_close_check()
@@ -287,15 +300,98 @@
 
     async def _refuse(self, error: BadRequestError) -> None:
         log_event(Event.CALLER_REFUSED, status=error.status, reason=str(error))
-        answer = Response(status=error.status, body=str(error).encode() + b"\n")
+        headers: tuple[Header, ...] = ()
+        if error.status == UNAVAILABLE:
+            retry_s = ROOM_RETRY_S * random.uniform(1.0, 2.0)
+            headers = ((b"Retry-After", b"%.3f" % retry_s),)
+        answer = Response(status=error.status, headers=headers, body=str(error).encode() + b"\n")
         self._write(render_response(answer, close=True))
         # Closing with unread data would reset the connection before the caller reads the response.
-        await asyncio.sleep(LINGER_S)
+        # One that was refused for lack of room did nothing wrong, and may send its whole body.
+        linger_s = MAX_LINGER_S if error.status == UNAVAILABLE else LINGER_S
+        until_s = self._loop.time() + linger_s
+        while self._loop.time() < until_s:
+            await asyncio.sleep(LINGER_S)
+            if self._loop.time() - self._received_s >= LINGER_S:
+                break
         self.close()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        self._written_bytes += len(data)
+        output_bytes = self._transport.get_write_buffer_size()
+        if output_bytes:
+            self._hold_output(output_bytes)
+
+    def _update_input(self) -> None:
+        """Hold what has been read; refuse the last requests if there is no room for them."""
+        self.holding.is_within_request = self._parser.is_within_request
+        self.holding.is_full_ahead = len(self._pending) >= MAX_PENDING_REQUESTS
+        now_s = self._loop.time()
+        if not self._has_room_for_body(now_s):
+            self._parser.refuse_for_room()
+        while not self._memory.try_hold_input(self.holding, self._input_bytes, now_s):
+            if self._parser.is_within_request:
+                self._parser.refuse_for_room()
+            elif self._pending:
+                # Nothing is read after a refusal, so the requests before it keep their order.
+                self._pending.pop()
+                self._parser.refuse_for_room()
+            else:
+                break
+        if self._parser.error is not None:
+            self._wake.set()
+
+    @property
+    def _input_bytes(self) -> int:
+        """Return what the requests of the connection take."""
+        waiting_bytes = sum(request.held_bytes for request in self._pending)
+        return CONNECTION_BYTES + self._handled_bytes + waiting_bytes + self._parser.held_bytes
+
+    def _has_room_for_body(self, now_s: float) -> bool:
+        """Return whether there is room for the rest of a body whose length is stated."""
+        declared_bytes = self._parser.declared_bytes
+        if not declared_bytes:
+            return True
+        missing_bytes = max(0, declared_bytes - self._parser.held_bytes)
+        return self._memory.has_room(self.holding, self._input_bytes + missing_bytes, now_s)
+
+    def _hold_output(self, output_bytes: int) -> None:
+        """Hold what the caller has not taken, and check later whether it takes any of it."""
+        now_s = self._loop.time()
+        if not self.holding.output_bytes:
+            self.holding.progress_s = now_s
+        self._memory.set_output(self.holding, output_bytes, now_s)
+        if self._output_check is None:
+            self._output_check = self._loop.call_later(OUTPUT_CHECK_INTERVAL_S, self._check_output)
+
+    def _check_output(self) -> None:
+        """Close the connection if its caller has long taken nothing of a response."""
+        self._output_check = None
+        if self._transport is None:
+            return
+        now_s = self._loop.time()
+        output_bytes = self._transport.get_write_buffer_size()
+        taken_bytes = self._written_bytes - output_bytes
+        if taken_bytes > self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self.holding.progress_s = now_s
+        elif now_s - self.holding.progress_s >= self._send_timeout_s:
+            log_event(Event.CONNECTION_EVICTED, held_bytes=output_bytes, reason="reads nothing")
+            self.abort()
+            return
+        self._memory.set_output(self.holding, output_bytes, now_s)
+        if output_bytes:
+            self._output_check = self._loop.call_later(OUTPUT_CHECK_INTERVAL_S, self._check_output)
+
+    def _evict(self) -> None:
+        """Close the connection, as others need what it holds."""
+        log_event(
+            Event.CONNECTION_EVICTED, held_bytes=self.holding.held_bytes, reason="makes no progress"
+        )
+        self.abort()
 
     def _update_timer(self) -> None:
         """Restart the timer if the connection waits for something else than before."""
@@ -338,66 +434,3 @@
             return
         self._parser.error = BadRequestError(REQUEST_TIMEOUT, f"{wait.value} took too long")
         self._wake.set()
-
-
-def _has_peer_closed(sock: socket.socket | None) -> bool:
-    """Return whether the other side has closed, though bytes that it sent before are unread."""
-    if sock is None:
-        return False
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
-class _Responder:
-    """Writes the response to one request; implements `Responder`.
-
-    The end of the connection ends a body without chunks, so until it is whole any other end has to
-    be a reset.
-    """
-
-    def __init__(self, *, connection: IngressConnection, request: Request) -> None:
-        self.has_begun = False
-        self.is_complete = False
-        self.closes = False
-        self._connection = connection
-        self._request = request
-        self._is_head_request = request.method == b"HEAD"
-
-    async def answer(self, answer: Response) -> None:
-        self._begin()
-        self.is_complete = True
-        await self._connection.write(
-            render_response(answer, close=self.closes, is_head_request=self._is_head_request)
-        )
-
-    async def start_stream(self, status: int, headers: Iterable[Header]) -> None:
-        self._begin()
-        is_chunked = self._request.accepts_chunks
-        if not is_chunked:
-            self.closes = True
-            self._connection.set_reset_on_close(True)
-        await self._connection.write(
-            render_stream_head(status, headers, close=self.closes, is_chunked=is_chunked)
-        )
-
-    async def send(self, data: bytes) -> None:
-        if not data or self._is_head_request:
-            return
-        await self._connection.write(render_chunk(data) if self._request.accepts_chunks else data)
-
-    async def finish(self) -> None:
-        self.is_complete = True
-        if not self._request.accepts_chunks:
-            self._connection.set_reset_on_close(False)
-        elif not self._is_head_request:
-            await self._connection.write(LAST_CHUNK)
-
-    def abort(self) -> None:
-        self._connection.abort()
-
-    def _begin(self) -> None:
-        if self.has_begun:
-            raise RuntimeError("the response to this request has begun already")
-        self.has_begun = True
-        self.closes = self._connection.closes_after(self._request)
--- a/src/cicadatiller/ingress/_parser.py
+++ b/src/cicadatiller/ingress/_parser.py
@@ -14,10 +14,13 @@
 VERSION_WITHOUT_CHUNKS = "1.0"
 # Chunks of one byte are allowed for any body.
 FRAMING_PER_BODY_BYTE = 8
+# What the objects of a header take in memory beside its bytes.
+HEADER_OVERHEAD_BYTES = 200
 
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
 
 
 class BadRequestError(Exception):
@@ -64,6 +67,21 @@
         """Return whether a request has begun and is incomplete."""
         return self._begun
 
+    @property
+    def held_bytes(self) -> int:
+        """Return about what the incomplete request takes in memory."""
+        return self._head_bytes + len(self._body)
+
+    @property
+    def declared_bytes(self) -> int:
+        """Return the length that the incomplete request states for its body; 0 if none."""
+        return self._declared_bytes if self._begun and not self.is_within_head else 0
+
+    def refuse_for_room(self) -> None:
+        """Refuse the incomplete request, as there is no room for it, and free what was read."""
+        self._set_error(UNAVAILABLE, "too much is held for other requests; come back later")
+        self._reset()
+
     def feed(self, data: bytes, now_s: float) -> list[Request]:
         """Parse data and return the requests that it completes.
 
@@ -88,6 +106,8 @@
             self._set_error(BAD_REQUEST, str(error))
         if framing is self._framing:
             self._check_framing(len(data))
+        if self.error is not None:
+            self._body.clear()
         ready, self._ready = self._ready, []
         return ready
 
@@ -106,6 +126,7 @@
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
         self._target += url
+        self._head_bytes += len(url)
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -113,27 +134,27 @@
         if not self.is_within_head:
             return
         self._count_head(len(name) + len(value) + LINE_OVERHEAD_BYTES)
+        self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the request before its body is read."""
         self.is_within_head = False
         self._check_version()
-        declared_bytes = 0
         hosts = 0
         for name, value in self._headers:
             key = name.lower()
             if key == b"host":
                 hosts += 1
             elif key == b"content-length":
-                declared_bytes = int(value)
+                self._declared_bytes = int(value)
             elif key == b"transfer-encoding" and value.strip().lower() != b"chunked":
                 self._refuse(BAD_REQUEST, "the only supported transfer coding is chunked")
             elif key == b"expect":
                 self.expects_continue = value.strip().lower() == b"100-continue"
         if hosts != 1:
             self._refuse(BAD_REQUEST, "a request needs exactly one Host header")
-        if declared_bytes > self._limits.max_body_bytes:
+        if self._declared_bytes > self._limits.max_body_bytes:
             self._refuse(BODY_TOO_LARGE, "the body is too long")
 
     def on_body(self, body: bytes) -> None:
@@ -160,15 +181,22 @@
                 read_at_s=self._now_s,
                 accepts_chunks=self._parser.get_http_version() != VERSION_WITHOUT_CHUNKS,
                 body_digest=self._body_hash.digest() if self._body else b"",
+                held_bytes=self.held_bytes,
             )
         )
+        # The request has its own copy.
+        self._body.clear()
+        self._headers.clear()
+        self._head_bytes = 0
 
     def _reset(self) -> None:
         self._begun = False
         self._target = bytearray()
         self._headers: list[Header] = []
-        self._body = bytearray()
-        self._body_hash = hashlib.sha256()
+        self._head_bytes = 0
+        self._body: bytearray = bytearray()
+        self._declared_bytes = 0
+        self._body_hash: hashlib._Hash = hashlib.sha256()
         self._framing = FramingCounter(per_body_byte=FRAMING_PER_BODY_BYTE)
 
     def _count_head(self, size_bytes: int) -> None:
--- a/src/cicadatiller/ingress/_request.py
+++ b/src/cicadatiller/ingress/_request.py
@@ -27,6 +27,7 @@
         accepts_chunks: Whether the caller's HTTP version has chunked bodies.
         read_at_s: The loop time at which the last byte was read.
         body_digest: The SHA-256 digest of the body; empty if the body is.
+        held_bytes: About what it takes in memory.
     """
 
     method: bytes
@@ -37,6 +38,7 @@
     read_at_s: float
     accepts_chunks: bool = True
     body_digest: bytes = b""
+    held_bytes: int = 0
 
     @property
     def path(self) -> bytes:
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -34,6 +34,11 @@
     REQUEST_ABANDONED = (212, "info", "A caller disconnected before the end of its response.")
     RESPONSE_CUT = (213, "warning", "A caller's connection was closed within its response.")
     CONNECTION_REFUSED = (214, "warning", "Too many connections of callers; one was closed unread.")
+    CONNECTION_EVICTED = (
+        215,
+        "warning",
+        "A caller's connection was closed, as it made no progress and others needed what it held.",
+    )
     PEER_CONNECTED = (300, "info", "A peer connection was established.")
     PEER_LOST = (301, "warning", "A peer connection was lost or timed out.")
     PEER_REMOVED = (303, "warning", "A peer that was unreachable for long was removed.")
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -7,7 +7,7 @@
 import re
 from collections.abc import Iterable
 
-from ..egress import ResponseHead, ResponseMatcher, render_request
+from ..egress import ResponseHead, ResponseMatcher, render_request_head
 from ..gateway import RequestFields, TargetFields, TargetNotice
 from ..ingress import Header, Request
 
@@ -99,7 +99,7 @@
         )
 
     def encode_request(self, request: Request, fields: TargetFields) -> bytes:
-        """Return the bytes of a request to a target."""
+        """Return the head of a request to a target."""
         headers = list(_forwarded_headers(request))
         headers.append((b"Deadline-Remaining-Ms", b"%d" % max(1, int(fields.remaining_s * 1000))))
         headers.append((b"Expect-Instance", fields.instance_id.encode()))
@@ -109,7 +109,7 @@
             headers.append((b"Last-Event-Id", fields.last_event_id))
         if fields.helpers:
             headers.append((b"Helpers", ",".join(fields.helpers).encode()))
-        return render_request(request.method, request.target, headers, request.body)
+        return render_request_head(request.method, request.target, headers, len(request.body))
 
     def match_request(self, request_id: str) -> ResponseMatcher:
         """Return the matcher of a target's response to a request: it repeats the request's id."""
--- a/src/cicadatiller/platform/_settings.py
+++ b/src/cicadatiller/platform/_settings.py
@@ -6,6 +6,7 @@
 
 from ..cold_start import ColdAllowance
 from ..gateway import Bounds, NodeSettings
+from ..memory_budget import ProcessLimits
 
 MAX_PORT = 65_535
 # Deployments without evacuations do not state the bound.
@@ -65,6 +66,7 @@
         readiness_address=listen.text("ready"),
         peer_port=reader.first_port("internal_port_range"),
         store_address=reader.table("platform").text("address"),
+        limits=_read_limits(reader),
         bounds=Bounds(
             shutdown_s=bounds.number("grace_s"),
             target_drain_s=bounds.number("drain_ms") / 1000,
@@ -86,6 +88,16 @@
     return node
 
 
+def _read_limits(reader: "_TableReader") -> ProcessLimits:
+    """Return the limits of the process; settings without them have none."""
+    if not reader.has("limits"):
+        return ProcessLimits()
+    limits = reader.table("limits")
+    return ProcessLimits(
+        memory_mb=limits.number("memory_mb", 0.0), descriptors=int(limits.number("max_fds", 0))
+    )
+
+
 class _TableReader:
     """Reads the fields of a TOML table and collects every problem with them."""
 
@@ -120,6 +132,9 @@
             return 0
         return int(ports[0])
 
+    def has(self, name: str) -> bool:
+        return name in self._document
+
     def table(self, name: str) -> "_TableReader":
         value = self._document.get(name)
         if not isinstance(value, dict):
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -40,6 +40,9 @@
     async def start(self, host, port):
         await self._server.start(host, port)
 
+    def stop(self):
+        self._server.close()
+
     def write(self, topic, key, value):
         """Append a record; None removes the key, and a value that is not bytes is sent as JSON."""
         if value is not None and not isinstance(value, bytes):
@@ -178,6 +181,7 @@
         retry_after: The Retry-After value of its responses with status 503; None for no header.
         limit: The Server-Limit value of all its responses; None for no header.
         cold_ms: The Cold-Ms value of all its responses; None for no header.
+        bodies: The bodies of its answers to calls by path; others name the request.
         is_ticket_used: Called with the name of a reservation; returns whether a request uses it.
         report_status: The status of its reports.
         received: The requests of all kinds that reached it, as (loop time, path).
@@ -214,6 +218,7 @@
         self.retry_after = None
         self.limit = None
         self.cold_ms = None
+        self.bodies = {}
         self.is_ticket_used = lambda name: False
         self.report_status = 200
         self.received = []
@@ -360,7 +365,7 @@
                 crash_after = self._events_before_crash(run) if is_crash else None
                 await self._stream(run, headers, response_headers, step, crash_after, responder)
             else:
-                body = b"answer to " + headers["attempt-id"].encode()
+                body = self.bodies.get(run.target) or b"answer to " + run.request_id.encode()
                 await responder.answer(Response(status=200, headers=response_headers, body=body))
         except asyncio.CancelledError:
             run.cancelled = True
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -15,6 +15,8 @@
 EVACUATE_S = 5.0
 POOL = ("pool",) * 6
 ENGINES = ("engines",) * 6
+# Requests at once for which the targets of two data centres have too few slots.
+ALL_DATA_CENTRES = 44
 LONG_PROMPT = (500_000, 400)
 LONG_ROUTES = [
     route("stream", target_latency_ms=3000, gap_target_ms=1000, timeout_ms=15_000, max_attempts=2)
@@ -42,7 +44,7 @@
 class RequestTest(EvacuationCase):
     def check_nothing_reaches(self, kind, *, targets, **options):
         async def scenario(fleet):
-            before = await self.used_targets(fleet, 24, kind=kind, **options)
+            before = await self.used_targets(fleet, ALL_DATA_CENTRES, kind=kind, **options)
             self.evacuate(fleet, ZONES[0])
             await asyncio.sleep(1.0)
             since_s = fleet.loop.time()
@@ -50,7 +52,7 @@
             reached = self.reached(fleet, ZONES[0], since_s=since_s)
             self.take_back(fleet, ZONES[0])
             await asyncio.sleep(1.0)
-            after = await self.used_targets(fleet, 24, kind=kind, **options)
+            after = await self.used_targets(fleet, ALL_DATA_CENTRES, kind=kind, **options)
             zones = [{fleet.targets[name].zone for name in names} for names in (before, after)]
             return zones, reached, {reply.status for reply in replies}
 
