Memory: bodies of ended requests are freed

Change: RequestWriter writes a body in parts and drops the view at its end; large blocks have mappings of their own.

--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -15,6 +15,7 @@
 from ._errors import ConnectionLostError, EgressError, MalformedResponseError
 from ._inner_head import InnerHeadSearch
 from ._matcher import ExchangeHistory, ResponseMatch, ResponseMatcher
+from ._request_writer import RequestWriter
 from ._response import ResponseHead, build_head
 from ._response_limits import ResponseLimits
 
@@ -24,10 +25,6 @@
 # Bounds the events of one part, which take more memory than their bytes.
 MAX_PART_BYTES = 4 * 1024
 BODY_TIMEOUT_S = 5.0
-WRITE_HIGH_WATER_BYTES = 256 * 1024
-# Longer bodies are written in parts of this size as the server takes them, since what a transport
-# can't send at once it copies.
-WRITE_PART_BYTES = 64 * 1024
 
 FIRST_FINAL_STATUS = 200
 # Of data that belongs to no exchange, what a log line repeats.
@@ -99,8 +96,7 @@
         self._declared_bytes = 0
         self._has_head = False
         self._reads_until_close = False
-        self._write_paused = False
-        self._unsent = memoryview(b"")
+        self._writer: RequestWriter | None = None
         self._matcher: ResponseMatcher | None = None
         self._on_stray = on_stray
         self._has_strays = False
@@ -111,10 +107,10 @@
         self._discard_timeout = DiscardTimeout(policy=None)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and set its write buffer limit."""
+        """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._writer = RequestWriter(transport=transport)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
@@ -159,13 +155,14 @@
         self._fail(ConnectionLostError(f"connection to {self.address} lost: {reason}"))
 
     def pause_writing(self) -> None:
-        """Record that the write buffer is above its limit."""
-        self._write_paused = True
+        """Write no more of the request, as the write buffer is above its limit."""
+        if self._writer is not None:
+            self._writer.pause()
 
     def resume_writing(self) -> None:
         """Write more of the request, as the write buffer has drained."""
-        self._write_paused = False
-        self._write_body()
+        if self._writer is not None:
+            self._writer.resume()
 
     def on_message_begin(self) -> None:
         """Start a response."""
@@ -270,13 +267,8 @@
         self._reads_until_close = False
         self._limits = ResponseLimits()
         self._inner_head_search = InnerHeadSearch(header_names=matcher.inner_headers(self.history))
-        transport = self._require_transport()
-        if len(body) <= WRITE_PART_BYTES:
-            transport.write(request + body)
-            return
-        transport.write(request)
-        self._unsent = memoryview(body)
-        self._write_body()
+        assert self._writer is not None
+        self._writer.write(request, body)
 
     @property
     def is_readable(self) -> bool:
@@ -346,7 +338,8 @@
             return False
         reusable = self.is_open and self._is_complete and self._may_reuse and self._may_carry_more
         # While this request is partly unsent, the next one would be queued behind its remainder.
-        if not reusable or self._body or self._heads or self._write_paused:
+        is_unsent = self._writer is not None and self._writer.is_paused
+        if not reusable or self._body or self._heads or is_unsent:
             self.close()
             self._drop_buffers()
             return False
@@ -359,17 +352,11 @@
     def close(self) -> None:
         """Abort the connection, by which the server detects that the request was abandoned."""
         self.is_open = False
-        self._unsent = memoryview(b"")
+        if self._writer is not None:
+            self._writer.drop()
         if self._transport is not None:
             self._transport.abort()
 
-    def _write_body(self) -> None:
-        """Write parts of the body until the write buffer is full."""
-        transport = self._require_transport()
-        while self._unsent and not self._write_paused and self.is_open:
-            part, self._unsent = self._unsent[:WRITE_PART_BYTES], self._unsent[WRITE_PART_BYTES:]
-            transport.write(part)
-
     @property
     def _may_carry_more(self) -> bool:
         """Return whether the responses to later exchanges can be told from those until now."""
--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -1,5 +1,6 @@
 """The modules that all programs share: errors, log events, checks, tasks and plug-ins."""
 
+from ._allocator import map_large_blocks
 from ._bridge import LoopBridge
 from ._checks import (
     SettingsError,
@@ -80,6 +81,7 @@
     "get_string",
     "host_and_port",
     "load_object",
+    "map_large_blocks",
     "log_event",
     "new_incarnation",
     "not_empty",
--- a/src/cicadatiller/platform/__main__.py
+++ b/src/cicadatiller/platform/__main__.py
@@ -12,7 +12,7 @@
 from ..channels import open_transport
 from ..egress import ConnectionPool
 from ..gateway import Gateway, GatewaySettings, NodeSettings, SettingsWatch
-from ..kernel import EXIT_BAD_SETTINGS, LogOutput
+from ..kernel import EXIT_BAD_SETTINGS, LogOutput, map_large_blocks
 from ._documents import PlatformDocuments
 from ._headers import PlatformHeaders
 from ._log import PlatformLog
@@ -73,6 +73,7 @@
         return EXIT_BAD_SETTINGS
     if settings is None:
         return EXIT_BAD_SETTINGS
+    map_large_blocks()
     add_destinations(LogOutput(fd=sys.stdout.fileno()))
     asyncio.run(serve(path, node, settings))
     return 0
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP/1.1 client."""
 
 import asyncio
+import sys
 import unittest
 
 from cicadatiller.egress import (
@@ -15,6 +16,7 @@
     TcpKeepalive,
     open_connection,
     render_request,
+    render_request_head,
 )
 
 from .support.streams import NetworkCase
@@ -199,6 +201,31 @@
 
         self.assertEqual(self.run_paused(scenario()), (b"ok", False))
 
+    def test_a_long_body_is_sent_whole_and_not_kept_by_the_idle_connection(self):
+        """Guards against idle connections that hold the bodies of ended requests."""
+
+        async def scenario():
+            body = b"y" * 900_000
+            head = render_request_head(b"POST", b"/x", [], len(body))
+
+            def answer_when_whole(transport):
+                server = self.servers[0]
+                if len(server.received) < len(head) + len(body):
+                    server.steps.insert(0, answer_when_whole)
+                else:
+                    transport.write(WHOLE)
+
+            connection = await self.connect(answer_when_whole)
+            references = sys.getrefcount(body)
+            connection.start(head, matcher=CALL_MATCHER, body=body)
+            await connection.read_head()
+            await connection.read_whole_body(1000)
+            is_reusable = connection.finish()
+            is_whole = self.servers[0].received == head + body
+            return is_whole, is_reusable, sys.getrefcount(body) - references
+
+        self.assertEqual(self.run_paused(scenario()), (True, True, 0))
+
     def test_a_body_longer_than_allowed_is_an_error(self):
         async def scenario():
             long = WHOLE.replace(b"Length: 2", b"Length: 2000").replace(b"ok", b"y" * 2000)
