--- a/src/cicadatiller/egress/_buffers.py
+++ b/src/cicadatiller/egress/_buffers.py
@@ -25,7 +25,7 @@
 
     def __init__(self, *, shared_bytes: int = SHARED_BYTES) -> None:
         self.held_bytes = 0
-        self.relieve: Callable[[int], None] = lambda missing_bytes: None
+        self.relieve: Callable[[int], object] = lambda missing_bytes: None
         self._shared_bytes = shared_bytes
 
     def try_hold(self, size_bytes: int) -> bool:
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -9,6 +9,7 @@
 from ..channels import Transport, split_address
 from ..cold_start import ColdTargets
 from ..egress import ConnectionPool
+from ..evacuation import count_requests
 from ..fleet import KeyedLog, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
@@ -107,7 +108,9 @@
         self._memory = MemoryBudget(
             limit_bytes=self._settings.max_held_bytes or node.limits.held_bytes
         )
-        pool.buffers.relieve = self._relieve_memory
+        pool.buffers.relieve = lambda missing_bytes: self._memory.relieve(
+            missing_bytes, self._loop.time()
+        )
         self._synced = asyncio.Event()
         self._figures = FiguresLog(metrics=self._metrics, gauges=self._gauges)
         self._ends_at_s = math.inf
@@ -398,9 +401,6 @@
             rng=random.Random(),
         )
 
-    def _relieve_memory(self, needed_bytes: int) -> None:
-        self._memory.relieve(needed_bytes, self._loop.time())
-
     def _forget_target(self, target_id: str) -> None:
         self.board.forget_target(target_id)
         self._cold_targets.forget(target_id)
@@ -469,21 +469,14 @@
             },
         }
 
-    def _count_requests_in_evacuated(self) -> int:
-        """Return how many requests of this entry still run on targets that were evacuated."""
-        loads = (self.board.load(target.instance_id) for target in self._directory.evacuated())
-        return sum(
-            work.owner == self._run_id and work.writes
-            for load in loads
-            for work in load.works.values()
-        )
-
     def _gauges(self) -> dict[str, float]:
         return {
             "stalls": self._stall.stalls,
             "task_failures": self._tasks.failures.total(),
             "config_version": self.config_version,
-            "requests_in_evacuated": self._count_requests_in_evacuated(),
+            "requests_in_evacuated": count_requests(
+                self._directory.evacuated(), self.board, self._run_id
+            ),
             "held_bytes": self._memory.held_bytes,
             "held_refused": self._memory.refused,
             "connections_evicted": self._memory.evicted,
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -15,6 +15,36 @@
 RATE_WINDOWS_S = (0.5, 3.0)
 
 
+class TargetUse:
+    """What the work on one target uses at a moment.
+
+    Attributes:
+        in_flight: The requests hosted there.
+        helped_prompts: The prompts for which the target is a helper.
+        kv_tokens: The KV cache tokens that all its work needs.
+        context_tokens: The context tokens of work whose first event was seen.
+        decoding: The requests that are decoding there.
+        awaiting_prefill: The work whose prefill is not known to be complete.
+    """
+
+    __slots__ = (
+        "awaiting_prefill",
+        "context_tokens",
+        "decoding",
+        "helped_prompts",
+        "in_flight",
+        "kv_tokens",
+    )
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.helped_prompts = 0
+        self.kv_tokens = 0
+        self.context_tokens = 0
+        self.decoding: list[Work] = []
+        self.awaiting_prefill: list[Work] = []
+
+
 class TargetLoad:
     """The load of one target.
 
@@ -36,36 +66,59 @@
         self.smoothed_call_s = 0.0
         self.last_call_end_s = -math.inf
         self.freed_by_peer_s = -math.inf
+        self._use: TargetUse | None = None
         self._recent: dict[str, Work] = {}
         self._slot_use = SlotUse()
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests hosted here, without prefill done as a helper."""
-        return sum(work.writes for work in self.works.values())
+        return self.use().in_flight
 
     @property
     def helped_prompts(self) -> int:
         """Return the number of prompts for which this target is a helper."""
-        return sum(not work.writes for work in self.works.values())
+        return self.use().helped_prompts
 
     @property
     def kv_tokens(self) -> int:
         """Return the KV cache tokens that all work here needs."""
-        return sum(work.kv_tokens for work in self.works.values())
+        return self.use().kv_tokens
 
     @property
     def context_tokens(self) -> int:
         """Return the total context tokens of work whose first event was seen."""
-        return sum(work.context_tokens for work in self.works.values() if work.has_begun)
+        return self.use().context_tokens
+
+    def use(self) -> "TargetUse":
+        """Return what the work here uses; it is counted again after each change."""
+        if self._use is None:
+            self._use = self._count_use()
+        return self._use
+
+    def _count_use(self) -> "TargetUse":
+        use = TargetUse()
+        for work in self.works.values():
+            use.kv_tokens += work.kv_tokens
+            if work.writes:
+                use.in_flight += 1
+            else:
+                use.helped_prompts += 1
+            if not work.has_begun:
+                use.awaiting_prefill.append(work)
+                continue
+            use.context_tokens += work.context_tokens
+            if work.writes:
+                use.decoding.append(work)
+        return use
 
     def decoding(self) -> list[Work]:
         """Return the requests that are decoding here."""
-        return [work for work in self.works.values() if work.writes and work.has_begun]
+        return self.use().decoding
 
     def awaiting_prefill(self) -> list[Work]:
         """Return the work whose prefill is not known to be complete."""
-        return [work for work in self.works.values() if not work.has_begun]
+        return self.use().awaiting_prefill
 
     def prefill_wait_s(self, now_s: float) -> float:
         """Return the time until all known prefill is expected to finish."""
@@ -131,6 +184,7 @@
         if not work.has_begun:
             self.prefill_free_s = work.prefill_end_s
         self.works[work.work_id] = work
+        self._use = None
 
     def record_first_event(self, work_id: str, now_s: float) -> None:
         """Record the first event of a request: its prefill here is complete."""
@@ -138,6 +192,7 @@
         if work is None or work.has_begun:
             return
         work.has_begun = True
+        self._use = None
         self._end_prefill(work, now_s)
 
     def remove(self, work_id: str, now_s: float) -> None:
@@ -150,6 +205,7 @@
         if work.writes and (work.has_begun or not work.read_s):
             use.ends += 1
         del self.works[work_id]
+        self._use = None
         if not work.has_begun:
             self._end_prefill(work, now_s)
 
--- a/src/cicadatiller/placement/_candidate.py
+++ b/src/cicadatiller/placement/_candidate.py
@@ -1,5 +1,6 @@
 """The targets that a prompt may be placed on, and what a prefill there costs others."""
 
+import functools
 import math
 from dataclasses import dataclass
 
@@ -46,16 +47,18 @@
         self.model = model
         self.now_s = now_s
         self.load = load
-        self.decoding = load.decoding()
-        self.awaiting_prefill = load.awaiting_prefill()
-        self.may_host = load.in_flight < model.slots and candidate.may_host
-        self.no_slot = poisson_at_least(candidate.unknown_requests, model.slots - load.in_flight)
-        self.may_help = load.helped_prompts < model.slots and candidate.may_help
-        self.free_kv_tokens = int(model.kv_capacity_tokens * KV_USABLE_SHARE) - load.kv_tokens
+        use = load.use()
+        self.decoding = use.decoding
+        self.awaiting_prefill = use.awaiting_prefill
+        self.may_host = use.in_flight < model.slots and candidate.may_host
+        self.no_slot = poisson_at_least(candidate.unknown_requests, model.slots - use.in_flight)
+        self.may_help = use.helped_prompts < model.slots and candidate.may_help
+        self.free_kv_tokens = int(model.kv_capacity_tokens * KV_USABLE_SHARE) - use.kv_tokens
         self.wait_s = load.prefill_wait_s(now_s)
-        self.pass_s = load.pace * pass_s(model, len(self.decoding), load.context_tokens)
+        self.pass_s = load.pace * pass_s(model, len(self.decoding), use.context_tokens)
         self.max_prefill_in_pass_s = max_prefill_in_pass_s(model)
-        self.event_gap_s = self.pass_s + self._pass_prefill_s(self.wait_s)
+        self._waiting_in_pass_s = self._pass_prefill_s(self.wait_s)
+        self.event_gap_s = self.pass_s + self._waiting_in_pass_s
         # Worth per second of the expected streams that a long prefill here would delay, and their
         # event gap limit.
         self.expected_worth_per_s = 0.0
@@ -64,24 +67,48 @@
     def loss_to_others(self, part_s: float) -> float:
         """Return the expected loss to others if this target prefills a part of `part_s`."""
         part_s *= self.load.pace
-        added_gap_s = self._pass_prefill_s(self.wait_s + part_s) - self._pass_prefill_s(self.wait_s)
+        added_gap_s = self._pass_prefill_s(self.wait_s + part_s) - self._waiting_in_pass_s
         lost = 0.0
+        if added_gap_s:
+            gap_s = self.event_gap_s + added_gap_s
+            for worth, max_gap_s, before in self._delayed_streams:
+                lost += worth * (gap_late_probability(gap_s, max_gap_s) - before)
+        for worth, needed_s, left_s, before in self._delayed_prefills:
+            lost += worth * (late_probability(needed_s + part_s, left_s) - before)
+        if self.expected_worth_per_s:
+            late = gap_late_probability(self.pass_s + added_gap_s, self.expected_max_gap_s)
+            lost += self.expected_worth_per_s * part_s * late
+        return lost
+
+    @functools.cached_property
+    def _delayed_streams(self) -> list[tuple[float, float, float]]:
+        """Return worth, longest gap and probability to be late of the streams here.
+
+        Those that are late in any case are left out.
+        """
+        streams = []
         for work in self.decoding:
             before = gap_late_probability(self.event_gap_s, work.max_gap_s)
-            after = gap_late_probability(self.event_gap_s + added_gap_s, work.max_gap_s)
-            lost += work.worth * (after - before)
+            if before < 1.0:
+                streams.append((work.worth, work.max_gap_s, before))
+        return streams
+
+    @functools.cached_property
+    def _delayed_prefills(self) -> list[tuple[float, float, float, float]]:
+        """Return worth, time needed, time left and probability to be late of the prefills here.
+
+        Those that are late in any case are left out.
+        """
+        prefills = []
         for work in self.awaiting_prefill:
             if not work.writes:
                 continue
             left_s = work.placed_s + work.due_in_s - self.now_s
             needed_s = max(0.0, work.prefill_end_s - self.now_s) + self.pass_s
             before = late_probability(needed_s, left_s)
-            after = late_probability(needed_s + part_s, left_s)
-            lost += work.worth * (after - before)
-        if self.expected_worth_per_s:
-            late = gap_late_probability(self.pass_s + added_gap_s, self.expected_max_gap_s)
-            lost += self.expected_worth_per_s * part_s * late
-        return lost
+            if before < 1.0:
+                prefills.append((work.worth, needed_s, left_s, before))
+        return prefills
 
     def prefill_starts_in_s(self) -> float:
         """Return the time until this target can start another prefill."""
--- a/src/cicadatiller/placement/_lateness.py
+++ b/src/cicadatiller/placement/_lateness.py
@@ -34,4 +34,8 @@
 
 
 def _ramp(ratio: float, begin: float, end: float) -> float:
-    return min(1.0, max(0.0, (ratio - begin) / (end - begin)))
+    if ratio <= begin:
+        return 0.0
+    if ratio >= end:
+        return 1.0
+    return (ratio - begin) / (end - begin)
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -5,6 +5,7 @@
 probability that the request itself is late, and the probability that it makes others late.
 """
 
+import heapq
 import math
 from collections.abc import Sequence
 
@@ -58,8 +59,11 @@
     _assign_demand(demand, views, model)
     prefill_total_s = read_s(model, prompt.tokens)
     best: Placement | None = None
+    hosting_costs: dict[str, float] = {}
     for size in _gang_sizes(prompt, len(views)):
-        placement = _place_in_gang(prompt, views, model, prefill_total_s, size, reservation_risk)
+        placement = _place_in_gang(
+            prompt, views, model, prefill_total_s, size, reservation_risk, hosting_costs
+        )
         if placement is not None and (best is None or placement.cost < best.cost):
             best = placement
     return best
@@ -95,14 +99,14 @@
     prefill_total_s: float,
     size: int,
     reservation_risk: float,
+    hosting_costs: dict[str, float],
 ) -> Placement | None:
     part_s = prefill_total_s / size
     costs = {view.target_id: _prefill_cost(view, prompt, part_s) for view in views}
-    ranked = sorted(views, key=lambda view: costs[view.target_id])
-    host = _best_host(prompt, views, costs, size)
+    host = _best_host(prompt, views, costs, hosting_costs, size)
     if host is None:
         return None
-    helpers = [view for view in ranked if view is not host and view.may_help][: size - 1]
+    helpers = _best_helpers(host, views, costs, size - 1)
     if len(helpers) < size - 1:
         return None
     memory = share_memory(prompt, host, helpers)
@@ -147,8 +151,22 @@
     )
 
 
+def _best_helpers(
+    host: CandidateView, views: list[CandidateView], costs: dict[str, float], count: int
+) -> list[CandidateView]:
+    """Return the cheapest targets beside the host; fewer if not enough may help."""
+    if count == 0:
+        return []
+    able = (view for view in views if view is not host and view.may_help)
+    return heapq.nsmallest(count, able, key=lambda view: costs[view.target_id])
+
+
 def _best_host(
-    prompt: Prompt, views: list[CandidateView], costs: dict[str, float], size: int
+    prompt: Prompt,
+    views: list[CandidateView],
+    costs: dict[str, float],
+    hosting_costs: dict[str, float],
+    size: int,
 ) -> CandidateView | None:
     """Choose the target that decodes; a prompt without helpers is prefilled there, too.
 
@@ -156,12 +174,19 @@
         prompt: The prompt to place.
         views: The candidates.
         costs: The cost of prefilling one part, by target id.
+        hosting_costs: The cost of hosting the prompt, by target id, which does not depend on the
+            size; missing ones are added.
         size: The number of targets in the gang.
     """
+
+    def total_cost(view: CandidateView) -> float:
+        hosting_cost = hosting_costs.get(view.target_id)
+        if hosting_cost is None:
+            hosting_cost = hosting_costs[view.target_id] = _hosting_cost(view, prompt)
+        return costs[view.target_id] + hosting_cost
+
     fitting = [view for view in views if view.may_host and fits_host(prompt, view, size)]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda view: costs[view.target_id] + _hosting_cost(view, prompt))
+    return min(fitting, key=total_cost, default=None)
 
 
 def _hosting_cost(view: CandidateView, prompt: Prompt) -> float:
