--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from bench.soak.answer_checks import ANSWER_CHECKS, DENIALS, GATEWAY_FAILURES, REFUSALS
-from bench.soak.entries import DRAIN_S, FREE_S, RETRY_RATIO, RETRY_WINDOW_S
+from bench.soak.entries import DRAIN_S, EVACUATE_S, FREE_S, RETRY_RATIO, RETRY_WINDOW_S
 from bench.soak.observations import (
     CONTACT_S,
     END_SLACK_S,
@@ -13,6 +13,7 @@
 )
 from bench.soak.record import Attempt
 from bench.soak.violations import Violation, describe, violation_of
+from tests.support.gateways import ZONES
 
 # A request that crosses the close of an unused connection is closed within this time.
 CROSSING_S = 0.3
@@ -144,6 +145,21 @@
             yield Violation(rule="drain", text=text, at_s=at_s)
 
 
+def check_evacuations(seen: Observations) -> Iterator[Violation]:
+    """No request reaches a target of an evacuated data centre after the bound."""
+    entries = {attempt.request_id: attempt.entry for attempt in seen.attempts}
+    for evacuation in seen.timeline.evacuations:
+        begin_s = evacuation.began_s + EVACUATE_S + MACHINE_SLACK_S
+        for arrival in seen.arrivals:
+            is_there = ZONES[arrival.target % len(ZONES)] == evacuation.data_centre
+            at_s = arrival.at_s
+            if not (is_there and arrival.has_matched and begin_s <= at_s <= evacuation.ended_s):
+                continue
+            if seen.timeline.is_calm(entries[arrival.request_id], at_s - CONTACT_S, at_s):
+                text = f"{arrival} {at_s - evacuation.began_s:.2f} s after the evacuation"
+                yield Violation(rule="evacuated", text=text, at_s=at_s)
+
+
 def check_crashes(seen: Observations) -> Iterator[Violation]:
     """What ended three targets, or a part of prompts that ended five, is not sent to many more."""
     by_id = {attempt.request_id: attempt for attempt in seen.attempts}
@@ -305,6 +321,7 @@
     *ANSWER_CHECKS,
     check_configuration,
     check_drains,
+    check_evacuations,
     check_crashes,
     check_limits,
     check_retry_budget,
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -8,11 +8,12 @@
 from bench.soak.answer_actions import ANSWER_ACTIONS
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
 from bench.soak.entries import DRAIN_S, EntryProcess
-from bench.soak.record import Disturbance, Shutdown, StatedLimit
+from bench.soak.record import Disturbance, Evacuation, Shutdown, StatedLimit
 from bench.soak.relay import Direction, Relay
 from bench.soak.schedule import Fault, FaultKind
 from bench.soak.system import System
 from bench.soak.target_slots import TargetSlot
+from tests.support.gateways import ZONES
 
 LINK_DELAY_S = 0.7
 OLDER_COPY_S = 2.0
@@ -25,6 +26,7 @@
 REFUSED = 503
 REQUEST_KINDS = ("safe", "unsafe", "stream")
 MAX_EVENTS_BEFORE = 2
+UNREADABLE_VALUES = (b"[" * 100_000, b"\xff\xfe", b'{"slots": 1' + b"0" * 400 + b"}", b"7")
 LIMITS_PER_S = (b"0", b"0.5", b"1", b"1.2", b"3")
 
 Action = Callable[[System, Fault], Awaitable[None]]
@@ -168,6 +170,8 @@
         system.store.return_to(system.now_s - OLDER_COPY_S)
         await asyncio.sleep(REWRITE_DELAY_S)
         system.publish()
+        for data_centre in {one.data_centre for one in system.timeline.evacuations}:
+            system.publish_evacuation(data_centre)
         for slot in system.slots:
             slot.register()
 
@@ -316,6 +320,23 @@
     system.change_configuration(has_spare_key=not system.history.newest.has_spare_key)
 
 
+async def _evacuate_zone(system: System, fault: Fault) -> None:
+    evacuation = Evacuation(data_centre=ZONES[fault.subject], began_s=system.now_s)
+    system.timeline.evacuations.append(evacuation)
+    system.publish_evacuation(evacuation.data_centre)
+    await asyncio.sleep(fault.for_s)
+    evacuation.ended_s = system.now_s
+    system.publish_evacuation(evacuation.data_centre)
+
+
+async def _write_unreadable(system: System, fault: Fault) -> None:
+    value = UNREADABLE_VALUES[int(fault.at_s * 100) % len(UNREADABLE_VALUES)]
+    name = f"0-{int(fault.at_s * 100):x}"
+    system.store.write("keyed.servers", name, value)
+    await asyncio.sleep(fault.for_s)
+    system.store.write("keyed.servers", name, None)
+
+
 ACTIONS: dict[FaultKind, Action] = {
     FaultKind.ENTRY_STOP: _stop_entry,
     FaultKind.ENTRY_KILL: _kill_entry,
@@ -352,4 +373,6 @@
     FaultKind.TIMEOUT_CHANGE: _change_timeout,
     FaultKind.IDLE_LIMIT_CHANGE: _change_idle_limit,
     FaultKind.KEY_TOGGLE: _toggle_key,
+    FaultKind.ZONE_EVACUATE: _evacuate_zone,
+    FaultKind.STORE_UNREADABLE: _write_unreadable,
 }
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -100,6 +100,15 @@
     ended_s: float = NEVER_S
 
 
+@dataclass(kw_only=True)
+class Evacuation:
+    """The time for which the operator has evacuated a data centre."""
+
+    data_centre: str
+    began_s: float
+    ended_s: float = NEVER_S
+
+
 @dataclass(kw_only=True)
 class UnnamedTime:
     """The time for which a target's answers to requests do not name the request."""
@@ -155,6 +164,7 @@
         crashes: Each end of a target under a part of a prompt or a request.
         limits: Each limit that a target stated.
         unnamed: Each time for which a target's answers did not name their requests.
+        evacuations: Each evacuation of a data centre.
     """
 
     shutdowns: list[Shutdown] = field(default_factory=list)
@@ -163,6 +173,7 @@
     crashes: list[Crash] = field(default_factory=list)
     limits: list[StatedLimit] = field(default_factory=list)
     unnamed: list[UnnamedTime] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
     _entries: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _targets: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _store: list[Disturbance] = field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -8,6 +8,8 @@
 import cattrs
 import orjson
 
+from tests.support.gateways import ZONES
+
 HEALTHY_START_S = 1.0
 HEALTHY_END_S = 5.0
 MIN_FAULTS = 12
@@ -65,6 +67,8 @@
     TIMEOUT_CHANGE = "timeout_change"
     IDLE_LIMIT_CHANGE = "idle_limit_change"
     KEY_TOGGLE = "key_toggle"
+    ZONE_EVACUATE = "zone_evacuate"
+    STORE_UNREADABLE = "store_unreadable"
 
 
 ENTRY_FAULTS = frozenset(
@@ -76,7 +80,9 @@
 MAX_LONG_FAULTS = 2
 MIN_LONG_S = 8.0
 MAX_LONG_S = 12.0
-# Drawn by another generator of their own, as older seeds have none of them.
+# Drawn by generators of their own, as older seeds have none of them.
+OPERATOR_FAULTS = (FaultKind.ZONE_EVACUATE, FaultKind.STORE_UNREADABLE)
+MAX_OPERATOR_FAULTS = 2
 ANSWER_FAULTS = (
     FaultKind.TARGET_REPEATS_ANSWERS,
     FaultKind.TARGET_REPEATS_REFUSALS,
@@ -181,7 +187,7 @@
         load_s=load_s or deployment.load_s,
     )
     wanted = kinds or frozenset(FaultKind) - OPTIONAL_FAULTS
-    others = wanted - set(LONG_FAULTS) - set(ANSWER_FAULTS)
+    others = wanted - {*LONG_FAULTS, *ANSWER_FAULTS, *OPERATOR_FAULTS}
     allowed = sorted(others, key=lambda kind: kind.value)
     faults: list[Fault] = []
     for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS) if allowed else 0):
@@ -189,6 +195,7 @@
         faults.append(_draw_fault(rng, deployment, allowed, previous))
     faults += _draw_long_faults(random.Random(f"{seed}/long"), deployment, wanted)
     faults += _draw_answer_faults(random.Random(f"{seed}/answers"), deployment, wanted)
+    faults += _draw_operator_faults(random.Random(f"{seed}/operator"), deployment, wanted)
     return Schedule(
         seed=seed,
         deployment=deployment,
@@ -218,6 +225,17 @@
     return [fault for fault in faults if fault.kind in wanted]
 
 
+def _draw_operator_faults(
+    rng: random.Random, deployment: Deployment, wanted: frozenset[FaultKind]
+) -> list[Fault]:
+    """Draw evacuations, which may overlap, and records of another writer."""
+    faults = []
+    for kind in OPERATOR_FAULTS:
+        for _ in range(rng.randint(0, MAX_OPERATOR_FAULTS)):
+            faults.append(_draw_lasting_fault(rng, deployment, kind, MIN_LONG_S, MAX_LONG_S))
+    return [fault for fault in faults if fault.kind in wanted]
+
+
 def _draw_lasting_fault(
     rng: random.Random,
     deployment: Deployment,
@@ -279,6 +297,7 @@
     rng: random.Random, deployment: Deployment, kind: FaultKind, previous: Fault | None
 ) -> int:
     for group, size in (
+        ({FaultKind.ZONE_EVACUATE}, len(ZONES)),
         (ENTRY_FAULTS, deployment.entries),
         (TARGET_FAULTS, deployment.engines + 2 * deployment.services),
     ):
--- a/bench/soak/system.py
+++ b/bench/soak/system.py
@@ -7,7 +7,7 @@
 from bench.soak.answer_faults import RepeatAnswers
 from bench.soak.configuration import SERVICES, History
 from bench.soak.entries import EntryProcess
-from bench.soak.record import CrashCauses, Timeline, UnheldTicket
+from bench.soak.record import NEVER_S, CrashCauses, Timeline, UnheldTicket
 from bench.soak.relay import Relay
 from bench.soak.schedule import Deployment
 from bench.soak.store import SoakStore
@@ -153,6 +153,15 @@
         engine = ENGINE | {"kv_capacity_tokens": ENGINE_MEMORY_TOKENS}
         self.store.write("keyed.op", "config", self.history.newest.document(engine))
 
+    def publish_evacuation(self, data_centre: str) -> None:
+        """Write whether a data centre is evacuated to the store."""
+        is_evacuated = any(
+            evacuation.data_centre == data_centre and evacuation.ended_s == NEVER_S
+            for evacuation in self.timeline.evacuations
+        )
+        value = {} if is_evacuated else None
+        self.store.write("keyed.op", f"evacuate/{data_centre}", value)
+
     def change_configuration(self, **changes) -> None:
         """Write a new version of the configuration."""
         version = self.history.change(self.now_s, **changes)
