Memory budget: idle connections stay; contention: nothing is computed for idle targets

Idle connections hold next to nothing, so closing them for bytes would close many for little. Refusals before a body are counted in held_refused, too. The age of the view and the rate of others are looked up only for targets that others used lately.

--- a/src/cicadatiller/gateway/_contention.py
+++ b/src/cicadatiller/gateway/_contention.py
@@ -50,8 +50,9 @@
             load: Its load as far as this entry knows.
             now_s: The time on the event loop's clock.
         """
+        requests = self._requests_of_unheard(target_id)
         rate_per_s = load.recent_rate_of_others_per_s(self._owner, now_s)
-        return rate_per_s * self._view_age_s() + self._requests_of_unheard(target_id)
+        return requests + rate_per_s * self._view_age_s() if rate_per_s else requests
 
     def _requests_of_unheard(self, target_id: str) -> float:
         """Return the load by peers that may still work, though no update of theirs arrives.
--- a/src/cicadatiller/ingress/_connection.py
+++ b/src/cicadatiller/ingress/_connection.py
@@ -15,11 +15,7 @@
 from ._peer_close import has_peer_closed
 from ._request import Header, Request
 from ._responder import ConnectionResponder, Responder
-from ._response import (
-    CONTINUE,
-    Response,
-    render_response,
-)
+from ._response import CONTINUE, Response, render_response
 
 REQUEST_TIMEOUT = 408
 UNAVAILABLE = 503
@@ -44,7 +40,6 @@
 CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
 
-
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
@@ -116,6 +111,12 @@
         self._is_draining = False
         self._has_ended = False
 
+    @property
+    def caller_host(self) -> str:
+        """Return the host address of the caller; empty if it is unknown."""
+        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return str(peer[0]) if isinstance(peer, tuple) else ""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that handles requests, or close if there are too many connections."""
         assert isinstance(transport, asyncio.Transport)
@@ -198,12 +199,6 @@
         """Return whether the connection closes after the response to a request."""
         return not request.keep_alive or (self._is_draining and not self._pending)
 
-    @property
-    def caller_host(self) -> str:
-        """Return the host address of the caller; empty if it is unknown."""
-        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
-        return str(peer[0]) if isinstance(peer, tuple) else ""
-
     def set_reset_on_close(self, resets: bool) -> None:
         """Choose whether the system resets the connection however it closes, a kill included."""
         sock = self._transport.get_extra_info("socket") if self._transport is not None else None
--- a/src/cicadatiller/memory_budget/_budget.py
+++ b/src/cicadatiller/memory_budget/_budget.py
@@ -61,14 +61,16 @@
         if more_bytes <= 0 or missing_bytes <= 0:
             return True
         freed_bytes = self.relieve(math.ceil(missing_bytes), now_s, spared=holding)
-        return freed_bytes >= missing_bytes
+        if freed_bytes >= missing_bytes:
+            return True
+        self.refused += 1
+        return False
 
     def try_hold_input(self, holding: Holding, input_bytes: int, now_s: float) -> bool:
         """Set what a connection's requests take; return False, unchanged, if there is no room."""
         if holding not in self._holdings:
             return False
         if not self.has_room(holding, input_bytes, now_s):
-            self.refused += 1
             return False
         self.held_bytes += input_bytes - holding.input_bytes
         holding.input_bytes = input_bytes
--- a/src/cicadatiller/memory_budget/_eviction.py
+++ b/src/cicadatiller/memory_budget/_eviction.py
@@ -17,9 +17,9 @@
 ) -> tuple[Holding, ...]:
     """Return stalled connections that hold as many bytes as needed, or all of them if they don't.
 
-    Those that hold most come first, so that few are closed.
+    Those that hold most come first, so that few are closed. Idle ones hold next to nothing and stay.
     """
-    stalled = [h for h in holdings if h.held_bytes and h.stalled_s(now_s) >= STALL_S]
+    stalled = [h for h in holdings if not h.is_idle and h.stalled_s(now_s) >= STALL_S]
     stalled.sort(key=lambda holding: holding.held_bytes, reverse=True)
     chosen: list[Holding] = []
     freed_bytes = 0
@@ -40,8 +40,7 @@
 
     def rank(holding: Holding) -> tuple[bool, bool, float]:
         is_stalled = holding.stalled_s(now_s) >= STALL_S
-        is_idle = not holding.is_within_request and not holding.output_bytes
-        return not is_stalled, is_idle, holding.progress_s
+        return not is_stalled, holding.is_idle, holding.progress_s
 
     giving = [h for h in holdings if h.stalled_s(now_s) >= STALL_S or h.is_full_ahead]
     return min(giving, key=rank, default=None)
--- a/src/cicadatiller/memory_budget/_holding.py
+++ b/src/cicadatiller/memory_budget/_holding.py
@@ -34,6 +34,11 @@
         """Return what it holds in all."""
         return self.input_bytes + self.output_bytes
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether its caller has neither begun a request nor left a response untaken."""
+        return not (self.is_handled or self.is_within_request or self.output_bytes)
+
     @property
     def waits_for_caller(self) -> bool:
         """Return whether it can go on only once its caller sends or takes something."""
--- a/src/cicadatiller/placement/_board.py
+++ b/src/cicadatiller/placement/_board.py
@@ -169,6 +169,8 @@
         It is the highest rate in any of `RATE_WINDOWS_S`, so that it rises at once in a burst.
         """
         placed_s = [w.placed_s for w in self._recent.values() if w.writes and w.owner != owner]
+        if not placed_s:
+            return 0.0
         return max(
             sum(time_s >= now_s - window_s for time_s in placed_s) / window_s
             for window_s in RATE_WINDOWS_S
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -35,6 +35,7 @@
         holdings = []
         while True:
             holding = self.open(f"long-{len(holdings)}", now_s=now_s, **options)
+            holding.is_within_request = not holding.is_handled
             if not self.budget.try_hold_input(holding, LONG_BYTES, now_s):
                 self.budget.close(holding)
                 return holdings
@@ -79,6 +80,13 @@
         self.budget = MemoryBudget()
         self.assertTrue(self.budget.try_hold_input(self.open(), 10**15, 0.0))
 
+    def test_idle_connections_stay_open(self):
+        for number in range(20):
+            self.budget.try_hold_input(self.open(f"idle-{number}"), SHORT_BYTES, 0.0)
+        self.fill_with_long(is_handled=True)
+        self.assertFalse(self.budget.try_hold_input(self.open(), LONG_BYTES, 60.0))
+        self.assertEqual(self.evicted, [])
+
 
 class OutputTest(BudgetCase):
     def test_a_reader_that_takes_nothing_loses_its_stream_before_the_limit_is_passed_for_long(self):
