Registrations: those of one id are ordered by run and sequence

Change: a report of an earlier run, or an earlier one of the same run, changes nothing, nor does it bring back a run that was removed. A start in the future is no start: it would outdate all true reports.

--- a/src/cicadatiller/gateway/_target_sink.py
+++ b/src/cicadatiller/gateway/_target_sink.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -17,6 +18,8 @@
 # For this time a target that has left is not used, though the store's copy lists it.
 DEPARTURE_HOLD_S = 30.0
 MAX_DEPARTURES = 1024
+# The clocks of instances may differ by this much.
+MAX_CLOCK_DIFFERENCE_S = 60.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,7 +92,7 @@
         if target is None:
             self._remove(record.key, "its registration can't be decoded")
             return
-        if self._is_outdated(record, target):
+        if self._is_outdated(record, target) or self._is_late(target):
             return
         if not self._was_in_first_page(record):
             self._written_in_era.add(record.key)
@@ -201,6 +204,18 @@
             return target.age_order <= known.age_order
         return _is_older(target, known)
 
+    def _is_late(self, target: TargetRecord) -> bool:
+        """Return whether a run has told more since, so that its record was written late.
+
+        The store may execute a write seconds after newer ones. Runs that state no start can't be
+        told apart, and a later one counts anew.
+        """
+        known = self._directory.find(target.instance_id)
+        newest = self._departures.get(target.instance_id) if known is None else known.record
+        if newest is None or not target.started_ms:
+            return False
+        return target.age_order < newest.age_order
+
     def _known_before(self, instance_id: str) -> TargetRecord | None:
         held = self._held.get(instance_id)
         if held is not None:
@@ -214,6 +229,7 @@
     def _decode(self, record: KeyedRecord) -> TargetRecord | None:
         try:
             target = self._decoder.decode_target(record.key, record.value or b"")
+            _check_start(target)
         except ValueError as error:
             self._unreadable.add(record.key, error)
             return None
@@ -260,6 +276,16 @@
         self._on_removed(instance_id)
 
 
+def _check_start(target: TargetRecord) -> None:
+    """Check the start of a run, which would outdate all true registrations if it lay far ahead.
+
+    Raises:
+        ValueError: If it is in the future.
+    """
+    if target.started_ms > 1000 * (time.time() + MAX_CLOCK_DIFFERENCE_S):
+        raise ValueError(f"the start {target.started_ms} is in the future")
+
+
 def _is_older(target: TargetRecord, known: TargetRecord) -> bool:
     """Return whether a registration was written before another of the same instance id."""
     if target.age_order != known.age_order:
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -72,6 +72,49 @@
         self.assertEqual({reply.status for reply in replies}, {200})
 
 
+class LateRecordTest(LeavingCase):
+    """Guards against a write that the store executes behind newer ones."""
+
+    def check_no_request_after(self, *late_changes, removed=False):
+        async def scenario(fleet):
+            leaving = fleet.targets["t-1"]
+            fleet.register(leaving, born=BORN_MS, sequence=5)
+            await asyncio.sleep(1.0)
+            fleet.register(leaving, born=BORN_MS, sequence=6, state="draining")
+            if removed:
+                await asyncio.sleep(1.0)
+                fleet.store.write("keyed.servers", "t-1", None)
+            await asyncio.sleep(2.0)
+            for changes in late_changes:
+                fleet.register(leaving, **changes)
+            await asyncio.sleep(2.0)
+            return await self.received_in_burst(fleet, leaving)
+
+        replies, received = self.run_scenario(scenario, entries=2, targets=("pool",) * 3)
+        self.assert_served(replies)
+        return received
+
+    def test_an_older_report_of_the_run_does_not_end_its_draining(self):
+        self.assertEqual(self.check_no_request_after({"born": BORN_MS, "sequence": 4}), 0)
+
+    def test_a_report_of_an_earlier_run_does_not_end_it(self):
+        late = {"born": BORN_MS - 1000, "sequence": 90}
+        self.assertEqual(self.check_no_request_after(late), 0)
+
+    def test_an_older_report_does_not_bring_back_a_target_that_was_removed(self):
+        late = {"born": BORN_MS, "sequence": 4}
+        self.assertEqual(self.check_no_request_after(late, removed=True), 0)
+
+    def test_a_start_in_the_future_does_not_outdate_the_true_reports(self):
+        forged = {"born": 2**62, "sequence": 1}
+        true = {"born": BORN_MS + 1000, "sequence": 1}
+        self.assertGreater(self.check_no_request_after(forged, true), 0)
+
+    def test_a_later_run_is_used_again(self):
+        later = {"born": BORN_MS + 1000, "sequence": 1}
+        self.assertGreater(self.check_no_request_after(later), 0)
+
+
 class LearningTest(LeavingCase):
     def check_target_gets_nothing_after_its_first_response(self, kind, prepare, *, service):
         async def scenario(fleet):
