--- a/src/cicadatiller/gateway/_catch_up.py
+++ b/src/cicadatiller/gateway/_catch_up.py
@@ -91,7 +91,8 @@
     async def _catch_up(self, topic: Topic) -> None:
         follower = self._followers[topic]
         pause_s = self._first_pause_s(topic, follower)
-        asked = ""
+        # Those asked since each of the needed peers was; the last one comes last.
+        asked: list[str] = []
         while True:
             await asyncio.sleep(pause_s * random.uniform(1.0, 1.0 + PAUSE_JITTER))
             needed = [
@@ -104,11 +105,10 @@
             if any(self._is_ahead(peer, topic, follower) for peer in needed):
                 # The store's answer to this entry's long poll may have been lost.
                 follower.renew_poll()
-            others = [peer for peer in needed if peer != asked]
-            asked = random.choice(others or needed)
+            peer = _choose_next(needed, asked)
             pause_s = min(MAX_PAUSE_S, 2 * pause_s)
             complete_until = follower.position or StorePosition()
-            while await self._ask(asked, topic, follower, complete_until):
+            while await self._ask(peer, topic, follower, complete_until):
                 pause_s = OWN_READ_DELAY_S
 
     def _first_pause_s(self, topic: Topic, follower: TopicFollower) -> float:
@@ -186,6 +186,17 @@
         follower.apply_held(_to_records(reply.held))
 
 
+def _choose_next(needed: list[str], asked: list[str]) -> str:
+    """Return a peer that was not asked, or after each was, another one than the last; note it."""
+    others = [peer for peer in needed if peer not in asked]
+    if not others:
+        others = [peer for peer in needed if peer != asked[-1]] or needed
+        asked.clear()
+    peer = random.choice(others)
+    asked.append(peer)
+    return peer
+
+
 def held_checksum(follower: TopicFollower) -> int:
     """Return a checksum of the records that a follower holds against the store's; 0 if none."""
     checksum = 0
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -204,7 +204,7 @@
         self._on_members_change()
 
     def apply_node_settings(self, node: NodeSettings, revision: SettingsRevision) -> None:
-        """Apply reloaded settings; changed addresses take effect only after a restart."""
+        """Apply reloaded settings; addresses and process limits need a restart."""
         self._node = node
         self.settings_revision = revision
         bounds = node.bounds
