--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,7 +3,16 @@
 from collections.abc import Iterator
 
 from bench.soak.answer_checks import ANSWER_CHECKS, DENIALS, GATEWAY_FAILURES, REFUSALS
-from bench.soak.entries import DRAIN_S, EVACUATE_S, FREE_S, RETRY_RATIO, RETRY_WINDOW_S
+from bench.soak.configuration import COLD_PER_S
+from bench.soak.entries import (
+    COLD_OVERSHOOT,
+    COLD_SLACK,
+    DRAIN_S,
+    EVACUATE_S,
+    FREE_S,
+    RETRY_RATIO,
+    RETRY_WINDOW_S,
+)
 from bench.soak.observations import (
     CONTACT_S,
     END_SLACK_S,
@@ -160,6 +169,28 @@
                 yield Violation(rule="evacuated", text=text, at_s=at_s)
 
 
+def check_cold(seen: Observations) -> Iterator[Violation]:
+    """In no second does a cold target get more requests than it tolerates."""
+    allowed = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
+    by_id = {attempt.request_id: attempt for attempt in seen.attempts}
+    for cold in seen.timeline.cold:
+        begin_s = cold.began_s + CONTACT_S + MACHINE_SLACK_S
+        times_s = sorted(
+            arrival.at_s
+            for arrival in seen.arrivals
+            if arrival.instance_id == cold.instance_id
+            and arrival.has_matched
+            and begin_s <= arrival.at_s <= cold.ended_s
+            and _is_in_touch(seen, by_id[arrival.request_id], arrival.at_s)
+        )
+        for at_s in times_s:
+            count = sum(at_s <= other_s < at_s + 1.0 for other_s in times_s)
+            if count > allowed:
+                text = f"{count} requests in a second, allowed {allowed:.0f}: {cold}"
+                yield Violation(rule="cold", text=text, at_s=at_s)
+                break
+
+
 def check_crashes(seen: Observations) -> Iterator[Violation]:
     """What ended three targets, or a part of prompts that ended five, is not sent to many more."""
     by_id = {attempt.request_id: attempt for attempt in seen.attempts}
@@ -322,6 +353,7 @@
     check_configuration,
     check_drains,
     check_evacuations,
+    check_cold,
     check_crashes,
     check_limits,
     check_retry_budget,
--- a/bench/soak/configuration.py
+++ b/bench/soak/configuration.py
@@ -14,6 +14,9 @@
 # Engines can begin a long prompt within this latency, but not within that of the other streams.
 LONG_ROUTE = {"name": "r-long", "path_prefix": "/long/", "target_latency_ms": 3000}
 TIMEOUTS_MS = (6000, 3000)
+# For how long targets are cold after an evacuation, and the requests a second that they then take.
+COLD_START_S = 2.0
+COLD_PER_S = 4.0
 IDLE_LIMITS_MS = (8000, 4000)
 # Callers use a connection again within this share of the idle limit.
 IDLE_USE_SHARE = 0.8
@@ -57,6 +60,8 @@
         document["services"] = [
             {"name": name, "health_path": "/health", "max_connections": 100} for name in SERVICES
         ] + [{"name": "engines", "max_connections": 100, "engine": engine}]
+        for service in document["services"]:
+            service |= {"cold_start_s": COLD_START_S, "cold_per_s": COLD_PER_S}
         document["limits"]["idle_timeout_ms"] = self.idle_limit_ms
         keys = [KEY, SPARE_KEY] if self.has_spare_key else [KEY]
         document["tenants"] = [{"name": "reef", "api_keys": keys}]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -8,7 +8,7 @@
 from bench.soak.answer_actions import ANSWER_ACTIONS
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
 from bench.soak.entries import DRAIN_S, EntryProcess
-from bench.soak.record import Disturbance, Evacuation, Shutdown, StatedLimit
+from bench.soak.record import ColdTime, Disturbance, Evacuation, Shutdown, StatedLimit
 from bench.soak.relay import Direction, Relay
 from bench.soak.schedule import Fault, FaultKind
 from bench.soak.system import System
@@ -329,6 +329,19 @@
     system.publish_evacuation(evacuation.data_centre)
 
 
+async def _turn_zone_cold(system: System, fault: Fault) -> None:
+    for slot in system.slots:
+        if slot.target is not None and slot.data_centre == ZONES[fault.subject]:
+            slot.register(cold_remaining_ms=round(fault.for_s * 1000))
+            cold = ColdTime(
+                instance_id=slot.target.instance_id,
+                began_s=system.now_s,
+                ended_s=system.now_s + fault.for_s,
+            )
+            system.timeline.cold.append(cold)
+    await asyncio.sleep(fault.for_s)
+
+
 async def _write_unreadable(system: System, fault: Fault) -> None:
     value = UNREADABLE_VALUES[int(fault.at_s * 100) % len(UNREADABLE_VALUES)]
     name = f"0-{int(fault.at_s * 100):x}"
@@ -375,4 +388,5 @@
     FaultKind.KEY_TOGGLE: _toggle_key,
     FaultKind.ZONE_EVACUATE: _evacuate_zone,
     FaultKind.STORE_UNREADABLE: _write_unreadable,
+    FaultKind.ZONE_COLD: _turn_zone_cold,
 }
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -109,6 +109,15 @@
     ended_s: float = NEVER_S
 
 
+@dataclass(kw_only=True)
+class ColdTime:
+    """The time for which a target's registration says that it is cold."""
+
+    instance_id: str
+    began_s: float
+    ended_s: float
+
+
 @dataclass(kw_only=True)
 class UnnamedTime:
     """The time for which a target's answers to requests do not name the request."""
@@ -165,6 +174,7 @@
         limits: Each limit that a target stated.
         unnamed: Each time for which a target's answers did not name their requests.
         evacuations: Each evacuation of a data centre.
+        cold: Each time for which a target was cold.
     """
 
     shutdowns: list[Shutdown] = field(default_factory=list)
@@ -174,6 +184,7 @@
     limits: list[StatedLimit] = field(default_factory=list)
     unnamed: list[UnnamedTime] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
+    cold: list[ColdTime] = field(default_factory=list)
     _entries: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _targets: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _store: list[Disturbance] = field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -68,6 +68,7 @@
     IDLE_LIMIT_CHANGE = "idle_limit_change"
     KEY_TOGGLE = "key_toggle"
     ZONE_EVACUATE = "zone_evacuate"
+    ZONE_COLD = "zone_cold"
     STORE_UNREADABLE = "store_unreadable"
 
 
@@ -81,7 +82,7 @@
 MIN_LONG_S = 8.0
 MAX_LONG_S = 12.0
 # Drawn by generators of their own, as older seeds have none of them.
-OPERATOR_FAULTS = (FaultKind.ZONE_EVACUATE, FaultKind.STORE_UNREADABLE)
+OPERATOR_FAULTS = (FaultKind.ZONE_EVACUATE, FaultKind.STORE_UNREADABLE, FaultKind.ZONE_COLD)
 MAX_OPERATOR_FAULTS = 2
 ANSWER_FAULTS = (
     FaultKind.TARGET_REPEATS_ANSWERS,
@@ -228,7 +229,7 @@
 def _draw_operator_faults(
     rng: random.Random, deployment: Deployment, wanted: frozenset[FaultKind]
 ) -> list[Fault]:
-    """Draw evacuations, which may overlap, and records of another writer."""
+    """Draw evacuations and cold targets, which may overlap, and records of another writer."""
     faults = []
     for kind in OPERATOR_FAULTS:
         for _ in range(rng.randint(0, MAX_OPERATOR_FAULTS)):
@@ -297,7 +298,7 @@
     rng: random.Random, deployment: Deployment, kind: FaultKind, previous: Fault | None
 ) -> int:
     for group, size in (
-        ({FaultKind.ZONE_EVACUATE}, len(ZONES)),
+        ({FaultKind.ZONE_EVACUATE, FaultKind.ZONE_COLD}, len(ZONES)),
         (ENTRY_FAULTS, deployment.entries),
         (TARGET_FAULTS, deployment.engines + 2 * deployment.services),
     ):
--- a/bench/soak/target_slots.py
+++ b/bench/soak/target_slots.py
@@ -46,6 +46,7 @@
         crash_causes: What crashes targets now.
 
     Attributes:
+        data_centre: As the argument.
         left_s: When the store took the news that an instance leaves or is gone, by instance id.
         answers: What the target does wrong with its answers now.
     """
@@ -70,7 +71,7 @@
         self.number = number
         self.service = service
         self.left_s: dict[str, float] = {}
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._store = store
         self._timeline = timeline
         self._arrivals = arrivals
@@ -84,6 +85,7 @@
         self._target_host = f"{host_prefix}.{TARGET_OFFSET + number}"
         self._ports = itertools.count(PORT)
         self._names = itertools.count(1)
+        self._sequences = itertools.count(1)
         self.relay = Relay(
             host=f"{host_prefix}.{RELAY_OFFSET + number}",
             port=PORT,
@@ -107,7 +109,7 @@
             find_target=self._find_target,
             crash_causes=self._crash_causes,
             crashes=self._timeline.crashes,
-            zone=self._data_centre,
+            zone=self.data_centre,
             service=self.service,
             work_s=self._call_s,
             events=STREAM_EVENTS,
@@ -128,10 +130,11 @@
         for name in REQUEST_ID.findall(data):
             self._lost_on_links.append(LostOnLink(request_id=name.decode(), target=self.number))
 
-    def register(self) -> None:
-        """Write the registration of the current instance, if there is one."""
+    def register(self, **changes: int) -> None:
+        """Write the registration of the current instance, if there is one, as its next report."""
         if self.target is not None:
-            self._store.write("keyed.servers", self.target.instance_id, self.target.entry())
+            document = self.target.entry(sequence=next(self._sequences), **changes)
+            self._store.write("keyed.servers", self.target.instance_id, document)
 
     def _restart_after_crash(self, target: SoakTarget, headers: dict[str, str]) -> None:
         """Start another instance some time after one has crashed."""
