--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -30,7 +30,7 @@
 FIELDS = 1500
 FIRST_FIELD = "a0"
 
-# Every path of the door: with a route, without one, the readiness check, the metrics.
+# With a route, without one, and those of the listeners for checks and metrics.
 ROUTED, UNROUTED, READY, METRICS = "/unsafe/x", "/nowhere/x", "/readiness", "/metrics"
 ORDINARY, LONG = "/safe/x", "/safe/long"
 
