--- a/src/cicadatiller/gateway/_settings.py
+++ b/src/cicadatiller/gateway/_settings.py
@@ -22,7 +22,7 @@
             entry or a peer, at which this entry reads them from the store again; 0 for a quarter of
             the time for which a leaving target may still receive requests.
         max_caller_connections: How many connections of callers may be open at once; further ones
-            are closed unread, unless others make no progress. A quarter of the process's
+            are closed unread, unless others make no progress. A fifth of the process's
             sockets at most.
         max_connections_per_host: How many of them may come from one host address; 0 for no limit,
             as a load balancer may stand in front.
--- a/src/cicadatiller/ingress/_server.py
+++ b/src/cicadatiller/ingress/_server.py
@@ -11,7 +11,7 @@
 
 BACKLOG = 1024
 # So many connections are accepted before those beyond the bound are closed again.
-ACCEPT_BATCH = 16
+ACCEPT_BATCH = 8
 # Leaves half of the descriptors of a process, usually 4096, to targets, peers and the store.
 MAX_CONNECTIONS = 2048
 # Longer than callers wait for an answer, so that only those that left without a close are affected.
--- a/src/cicadatiller/memory_budget/_limits.py
+++ b/src/cicadatiller/memory_budget/_limits.py
@@ -11,9 +11,9 @@
 MIN_HELD_SHARE = 0.25
 # Descriptors for files, which sockets can't use.
 RESERVED_DESCRIPTORS = 200
-# Of the sockets: each caller may need two for targets, if the first is unresponsive, and some are for
-# idle connections, peers and the store.
-CALLER_SHARE = 0.25
+# Of the sockets: each caller may need two for targets, if the first is unresponsive, while others are
+# being closed or were just accepted, and some are for idle connections, peers and the store.
+CALLER_SHARE = 0.2
 STATUS_SHARE = 0.0625
 MIN_STATUS_CONNECTIONS = 4
 MAX_STATUS_CONNECTIONS = 64
