--- a/src/cicadatiller/cold_start/_tracker.py
+++ b/src/cicadatiller/cold_start/_tracker.py
@@ -1,4 +1,4 @@
-"""Keeps which targets are cold, from all that tells it."""
+"""Tracks which targets are cold, from registrations, responses, peers and evacuations."""
 
 import asyncio
 from collections.abc import Callable
@@ -72,7 +72,7 @@
         self._listener = listener
         self._loop = asyncio.get_running_loop()
         self._evacuated: frozenset[str] = frozenset()
-        # The registration of each target that was applied last, by its place in their order.
+        # The start and sequence of the registration of each target that was applied last.
         self._applied: dict[str, tuple[int, int]] = {}
 
     def record_registration(self, record: TargetRecord) -> None:
--- a/src/cicadatiller/egress/_buffers.py
+++ b/src/cicadatiller/egress/_buffers.py
@@ -19,8 +19,8 @@
 
     Attributes:
         held_bytes: The sum of what they hold beyond it now.
-        relieve: Called with the bytes that are missing when too few are left, so that those who
-            keep bodies from ending can be closed.
+        relieve: Called with the bytes that are missing when too few are left; it may close
+            connections whose callers don't read.
     """
 
     def __init__(self, *, shared_bytes: int = SHARED_BYTES) -> None:
