--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -1,6 +1,7 @@
 """Checks of the promises, only from what callers, targets and the store saw."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from bench.soak.answer_checks import ANSWER_CHECKS, DENIALS, GATEWAY_FAILURES, REFUSALS
 from bench.soak.configuration import COLD_PER_S
@@ -20,7 +21,8 @@
     RECOVERY_LOAD_S,
     Observations,
 )
-from bench.soak.record import Attempt
+from bench.soak.record import Attempt, ColdTime, StatedLimit
+from bench.soak.targets import Arrival
 from bench.soak.violations import Violation, describe, violation_of
 from tests.support.gateways import ZONES
 
@@ -172,23 +174,12 @@
 def check_cold(seen: Observations) -> Iterator[Violation]:
     """In no second does a cold target get more requests than it tolerates."""
     allowed = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
-    by_id = {attempt.request_id: attempt for attempt in seen.attempts}
     for cold in seen.timeline.cold:
-        begin_s = cold.began_s + CONTACT_S + MACHINE_SLACK_S
-        times_s = sorted(
-            arrival.at_s
-            for arrival in seen.arrivals
-            if arrival.instance_id == cold.instance_id
-            and arrival.has_matched
-            and begin_s <= arrival.at_s <= cold.ended_s
-            and _is_in_touch(seen, by_id[arrival.request_id], arrival.at_s)
-        )
-        for at_s in times_s:
-            count = sum(at_s <= other_s < at_s + 1.0 for other_s in times_s)
-            if count > allowed:
-                text = f"{count} requests in a second, allowed {allowed:.0f}: {cold}"
-                yield Violation(rule="cold", text=text, at_s=at_s)
-                break
+        times_s = [one.at_s for one in _arrivals_in_touch(seen, cold) if one.has_matched]
+        excess = _find_excess(times_s, window_s=1.0, allowed=allowed)
+        if excess is not None:
+            text = f"{excess.count} requests in a second, allowed {allowed:.0f}: {cold}"
+            yield Violation(rule="cold", text=text, at_s=excess.at_s)
 
 
 def check_crashes(seen: Observations) -> Iterator[Violation]:
@@ -216,23 +207,43 @@
 
 def check_limits(seen: Observations) -> Iterator[Violation]:
     """Targets get little more requests than the rate that they state, from all entries together."""
-    by_id = {attempt.request_id: attempt for attempt in seen.attempts}
     for limit in seen.timeline.limits:
-        begin_s = limit.began_s + CONTACT_S + MACHINE_SLACK_S
-        times_s = sorted(
-            arrival.at_s
-            for arrival in seen.arrivals
-            if arrival.instance_id == limit.instance_id
-            and begin_s <= arrival.at_s <= limit.ended_s
-            and _is_in_touch(seen, by_id[arrival.request_id], arrival.at_s)
-        )
+        times_s = [one.at_s for one in _arrivals_in_touch(seen, limit)]
         allowed = LIMIT_EXCESS * LIMIT_WINDOW_S * limit.rate_per_s + LIMIT_SLACK
-        for at_s in times_s:
-            count = sum(at_s <= other_s < at_s + LIMIT_WINDOW_S for other_s in times_s)
-            if count > allowed:
-                text = f"{count} requests in {LIMIT_WINDOW_S} s, allowed {allowed:.0f}: {limit}"
-                yield Violation(rule="limit", text=text, at_s=at_s)
-                break
+        excess = _find_excess(times_s, window_s=LIMIT_WINDOW_S, allowed=allowed)
+        if excess is not None:
+            text = f"{excess.count} requests in {LIMIT_WINDOW_S} s, allowed {allowed:.0f}: {limit}"
+            yield Violation(rule="limit", text=text, at_s=excess.at_s)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Excess:
+    """More requests in a window than allowed; `at_s` is its begin."""
+
+    at_s: float
+    count: int
+
+
+def _arrivals_in_touch(seen: Observations, limit: ColdTime | StatedLimit) -> list[Arrival]:
+    """Return what reached a limited target, once undisturbed entries had to know of the limit."""
+    by_id = {attempt.request_id: attempt for attempt in seen.attempts}
+    begin_s = limit.began_s + CONTACT_S + MACHINE_SLACK_S
+    return [
+        arrival
+        for arrival in seen.arrivals
+        if arrival.instance_id == limit.instance_id
+        and begin_s <= arrival.at_s <= limit.ended_s
+        and _is_in_touch(seen, by_id[arrival.request_id], arrival.at_s)
+    ]
+
+
+def _find_excess(times_s: list[float], *, window_s: float, allowed: float) -> _Excess | None:
+    """Return the first window with more times than allowed; None if there is none."""
+    for at_s in sorted(times_s):
+        count = sum(at_s <= other_s < at_s + window_s for other_s in times_s)
+        if count > allowed:
+            return _Excess(at_s=at_s, count=count)
+    return None
 
 
 def _is_in_touch(seen: Observations, attempt: Attempt, at_s: float) -> bool:
