Foreign documents: nesting is limited before they are parsed

Cause: json.loads calls itself for each level, and what stops it is the interpreter's own limit: 1,000 levels in 3.11, 10,000 in 3.12 and 3.13, whatever the stack holds. The decoder relied on RecursionError.

Why this works: the depth of the brackets outside of strings is counted before the parser is called; more than 64 levels are refused, so the parser's depth no longer depends on the document.

Before: test_the_depth_of_a_document_is_limited_before_it_is_parsed fails (no DocumentError), and the process of test_a_process_with_a_small_stack_outlives_nested_registrations ends with -11 on 3.12 (0 on 3.11, where it guards only).

--- a/src/cicadatiller/kernel/_json.py
+++ b/src/cicadatiller/kernel/_json.py
@@ -1,6 +1,7 @@
 """Reads JSON documents of other programs, whatever their bytes hold."""
 
 import json
+import re
 import socket
 from collections.abc import Mapping
 from typing import Any
@@ -8,6 +9,11 @@
 MAX_PORT = 65_535
 # Whole numbers are passed on to peers, and their encoding has 64 bits.
 MAX_INTEGER = 2**63 - 1
+# No document of ours is nested nearly as deeply.
+MAX_NESTING = 64
+
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+_OTHER_THAN_BRACKETS = bytes(byte for byte in range(256) if byte not in b"[]{}")
 
 
 class DocumentError(ValueError):
@@ -17,12 +23,17 @@
 def load_json(data: bytes) -> Any:
     """Return the value of a JSON document.
 
+    Args:
+        data: The document, in UTF-8.
+
     Raises:
-        DocumentError: If it can't be decoded, or is nested too deeply.
+        DocumentError: If it can't be decoded, or is nested more deeply than `MAX_NESTING`.
     """
     try:
-        return json.loads(data)
-    except (ValueError, RecursionError) as error:
+        text = data.decode()
+        _check_nesting(data)
+        return json.loads(text)
+    except ValueError as error:
         raise DocumentError(f"no valid JSON: {error!r:.200}") from error
 
 
@@ -103,3 +114,24 @@
         return f"{value!r:.80}"
     except ValueError:
         return type(value).__name__
+
+
+def _check_nesting(data: bytes) -> None:
+    """Check the nesting of a document before it is parsed.
+
+    The parser calls itself for each level. How many it takes before it raises an error depends on
+    the interpreter, and on a small stack the process ends before that.
+
+    Args:
+        data: The document, in UTF-8, valid or not.
+
+    Raises:
+        DocumentError: If it is nested more deeply than `MAX_NESTING`.
+    """
+    if data.count(b"[") + data.count(b"{") <= MAX_NESTING:
+        return
+    depth = 0
+    for bracket in _STRING.sub(b"", data).translate(None, _OTHER_THAN_BRACKETS):
+        depth += 1 if bracket in b"[{" else -1
+        if depth > MAX_NESTING:
+            raise DocumentError(f"nested more deeply than {MAX_NESTING} levels")
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -6,6 +6,9 @@
 
 import asyncio
 import json
+import resource
+import subprocess
+import sys
 import unittest
 import zlib
 from unittest import mock
@@ -22,6 +25,7 @@
 from cicadatiller.gateway._unreadable import UnreadableRecords
 from cicadatiller.ingress import Request
 from cicadatiller.kernel import DocumentError, FailureError
+from cicadatiller.kernel._json import load_json
 from cicadatiller.kernel._process import TaskSet
 from cicadatiller.mesh._compact import expand, unpack_records
 from cicadatiller.platform._documents import PlatformDocuments
@@ -71,6 +75,18 @@
     st.binary(max_size=200) | registrations | json_values.map(lambda v: json.dumps(v).encode())
 )
 cbor_values = json_values.map(cbor2.dumps) | st.binary(max_size=200)
+SMALL_STACK_BYTES = 512 * 1024
+DECODE_NESTED = """
+from cicadatiller.kernel import DocumentError
+from cicadatiller.platform._documents import decode_target
+for opener, closer in ((b"[", b"]"), (b'{"a":', b"}")):
+    for depth in (1_000, 9_000, 100_000):
+        for value in (opener * depth, opener * depth + b"1" + closer * depth):
+            try:
+                decode_target("t-1", b'{"service":' + value + b"}")
+            except DocumentError:
+                continue
+"""
 deep_cbor = st.integers(500, 5_000).map(lambda depth: b"\x81" * depth + b"\x00")
 
 
@@ -158,6 +174,34 @@
         self.assertEqual(unreadable.count, 0)
 
 
+class NestedDocumentsTest(unittest.TestCase):
+    # Guards against a nested record that the parser of one interpreter refuses, while with another
+    # one, or on a small stack, it ends the process each time the registrations are read.
+
+    def test_the_depth_of_a_document_is_limited_before_it_is_parsed(self):
+        for opener, closer in ((b"[", b"]"), (b'{"a":', b"}")):
+            with self.subTest(opener):
+                load_json(opener * 64 + b"1" + closer * 64)
+                for depth in (65, 500, 100_000):
+                    with self.assertRaises(DocumentError):
+                        load_json(opener * depth + b"1" + closer * depth)
+
+    def test_brackets_in_strings_and_in_a_row_are_no_depth(self):
+        strings = ["[" * 100, '"' + "[" * 100, "\\", "{" * 100]
+        for value in (strings, [[] for _ in range(1000)], [{"a": [1]} for _ in range(100)]):
+            self.assertEqual(load_json(json.dumps(value).encode()), value)
+
+    def test_a_process_with_a_small_stack_outlives_nested_registrations(self):
+        def limit_stack():
+            _, hard = resource.getrlimit(resource.RLIMIT_STACK)
+            resource.setrlimit(resource.RLIMIT_STACK, (SMALL_STACK_BYTES, hard))
+
+        ended = subprocess.run(
+            [sys.executable, "-c", DECODE_NESTED], preexec_fn=limit_stack, check=False
+        )
+        self.assertEqual(ended.returncode, 0)
+
+
 class ForeignMessagesTest(unittest.TestCase):
     @settings(max_examples=300, deadline=None)
     @given(frame=cbor_values | deep_cbor)
