--- a/src/cicadatiller/kernel/_checks.py
+++ b/src/cicadatiller/kernel/_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 
 
 class SettingsError(ValueError):
@@ -43,8 +44,13 @@
     return "" if value else "must not be empty"
 
 
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port; 0 stands for any free one."""
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_PORT_DIGITS
+    return is_number and int(text) <= MAX_PORT
+
+
 def host_and_port(value: str) -> str:
     """Return an error message if an address is not "host:port", else an empty string."""
     host, _, port = value.rpartition(":")
-    is_valid = bool(host) and port.isdecimal() and int(port) <= MAX_PORT
-    return "" if is_valid else f"{value!r} is not of the form host:port"
+    return "" if host and is_port(port) else f"{value!r} is not of the form host:port"
--- a/src/cicadatiller/kernel/_json.py
+++ b/src/cicadatiller/kernel/_json.py
@@ -6,7 +6,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-MAX_PORT = 65_535
+from ._checks import is_port
+
 # Whole numbers are passed on to peers, and their encoding has 64 bits.
 MAX_INTEGER = 2**63 - 1
 # No document of ours is nested nearly as deeply.
@@ -72,7 +73,7 @@
     """
     address = get_string(row, name)
     host, _, port = address.rpartition(":")
-    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) <= MAX_PORT):
+    if not is_port(port) or int(port) == 0:
         raise DocumentError(f"{name} must be of the form host:port, found {address!r:.80}")
     try:
         socket.inet_pton(socket.AF_INET, host)
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -93,6 +93,9 @@
     "state of another type": json.dumps(REGISTRATION | {"state": ["ready"]}).encode(),
     "half a surrogate pair": json.dumps(REGISTRATION | {"zone": "\ud800"}).encode(),
     "line break in the address": json.dumps(REGISTRATION | {"address": "10.0.0.1\r\n:80"}).encode(),
+    "port beyond its range, with zeros": json.dumps(
+        REGISTRATION | {"address": "10.0.0.1:000065999"}
+    ).encode(),
     "port beyond its range": json.dumps(REGISTRATION | {"address": "10.0.0.1:99999"}).encode(),
 }
 
@@ -192,7 +195,16 @@
 
     def test_a_member_whose_address_is_none_is_not_dialled(self):
         members = MemberSink(on_change=lambda: None, unreadable=UnreadableRecords())
-        for address in ("", "front-1", "10.0.0.1:0", "10.0.0.1:²", 7, None, ["10.0.0.1:80"]):
+        for address in (
+            "",
+            "front-1",
+            "10.0.0.1:0",
+            "10.0.0.1:000065999",
+            "10.0.0.1:²",
+            7,
+            None,
+            ["10.0.0.1:80"],
+        ):
             value = json.dumps({"peer_address": address}).encode()
             members.apply(make_record("front-1", value))
             self.assertEqual(members.addresses, {}, address)
@@ -301,7 +313,14 @@
                 self.assertEqual(listed, (INSTANCE,))
 
     async def test_an_address_without_a_valid_port_is_no_instance(self):
-        for address in ("10.0.0.1:99999", "10.0.0.1:" + "9" * 5_000, "10.0.0.1", ":80", 7):
+        for address in (
+            "10.0.0.1:99999",
+            "10.0.0.1:000065999",
+            "10.0.0.1:" + "9" * 5_000,
+            "10.0.0.1",
+            ":80",
+            7,
+        ):
             odd = cattrs.unstructure(INSTANCE) | {"name": "odd", "address": address}
             rows = [odd, cattrs.unstructure(INSTANCE)]
             listed = await self.list_instances(json.dumps({"instances": rows}).encode())
