--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import asdict
 
 from ..channels import Transport, split_address
 from ..cold_start import ColdTargets
@@ -12,7 +13,7 @@
 from ..evacuation import count_requests
 from ..fleet import KeyedLog, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
-from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation
+from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation, read_build
 from ..memory_budget import MemoryBudget
 from ..mesh import COMPACT_PROTOCOL, Greeting
 from ..placement import LoadBoard
@@ -98,6 +99,7 @@
         self._pool = pool
         self._loop = asyncio.get_running_loop()
         self._tasks = TaskSet()
+        self._build = read_build()
         self.settings_revision = SettingsRevision(number=1, digest="")
         self.board = LoadBoard()
         self._directory = TargetDirectory()
@@ -188,7 +190,7 @@
         self._tasks.keep_running(self._redialer.run, name="reviver")
         self._tasks.keep_running(self._prober.run, name="prober")
         self._tasks.keep_running(self._sweep, name="sweep")
-        log_event(Event.PROCESS_STARTED, name=self._node.name)
+        log_event(Event.PROCESS_STARTED, name=self._node.name, **asdict(self._build))
         await stopping.wait()
         await self._shut_down()
 
@@ -456,8 +458,9 @@
         self._caller_server.limits = table.limits
 
     def _infos(self) -> dict[str, dict[str, str]]:
-        """Return what identifies the settings and the configuration that this entry follows."""
+        """Return what identifies the build, and the settings and configuration that are followed."""
         return {
+            "build": asdict(self._build),
             "followed_settings": {
                 "entry": self._node.name,
                 "revision": str(self.settings_revision.number),
--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -2,6 +2,7 @@
 
 from ._allocator import map_large_blocks
 from ._bridge import LoopBridge
+from ._build import read_build
 from ._checks import (
     SettingsError,
     above_zero,
@@ -91,5 +92,6 @@
     "not_empty",
     "not_negative",
     "prompt_bucket",
+    "read_build",
     "rendezvous_weight",
 ]
