Links between entries: a large record of another writer no longer closes them

While a link is down, peers know nothing of each other's load and retries.

Why this works: a page of over 64 KiB is only announced, as the configuration is. Peers read it from the store, or ask for it in parts.

Before: tests.test_peer_sync.LargeRecordsTest fails with 16 closed links; after: none.

--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -21,7 +21,7 @@
     WorkShare,
 )
 from ..placement import LoadBoard, Work
-from ._catch_up import REPLY_TIMEOUT_S, CatchUp, answer_request, held_checksum
+from ._catch_up import MAX_PAGE_BYTES, REPLY_TIMEOUT_S, CatchUp, answer_request, held_checksum
 from ._ended_runs import EndedRun
 from ._followers import TopicFollower, find_follower
 from ._retry_budget import RetryBudget
@@ -126,7 +126,14 @@
             self._schedule_flush()
 
     def topic_read(self, topic: Topic, from_offset: int, page: KeyedPage) -> None:
-        """Send to the peers the records that this entry read, so that they need not read them."""
+        """Send to the peers the records that this entry read, so that they need not read them.
+
+        Larger pages are only announced, as one record of another writer may be as large as all that
+        a link queues; peers read them from the store, or ask for them part by part.
+        """
+        if sum(len(record.value or b"") for record in page.records) > MAX_PAGE_BYTES:
+            self.offsets_changed()
+            return
         self._pending_topic_updates.append(_to_topic_update(topic, from_offset, page))
         self._schedule_flush()
 
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -1,14 +1,20 @@
 """Tests of the state that entries exchange: load, retries, registrations and configuration."""
 
 import asyncio
+import random
+from collections import Counter
+from unittest import mock
 
 from cicadatiller.fleet import Topic
+from cicadatiller.kernel import Event
 from cicadatiller.mesh import TopicRequest, TopicUpdate, Update
 
 from .support.gateways import GatewayFleet, configuration, route
 from .support.streams import NetworkCase
 
 ENTRIES = 3
+# The platform's store takes records of 262,144 bytes with their keys.
+MAX_VALUE_BYTES = 262_140
 
 
 class PeerSyncCase(NetworkCase):
@@ -21,6 +27,28 @@
         return self.run_paused(run())
 
 
+class LargeRecordsTest(PeerSyncCase):
+    # Guards against a large record of another writer that closes the links between entries, as the
+    # one that reads it first sends it to all its peers at once.
+
+    def test_large_records_of_another_writer_leave_the_links_open(self):
+        async def scenario(fleet):
+            generator = random.Random(1)
+            for number in range(4):
+                value = b"[" + generator.randbytes(MAX_VALUE_BYTES - 1)
+                fleet.store.write("keyed.servers", f"i-{number}", value)
+                await asyncio.sleep(0.7)
+            await asyncio.sleep(1.0)
+            last, _ = fleet.store.newest("keyed.servers")["i-3"]
+            return last, [gateway.peer_sync.known_offsets() for gateway in fleet.gateways]
+
+        with mock.patch("cicadatiller.mesh._link.log_event") as log_event:
+            last, offsets = self.run_scenario(scenario)
+        kinds = Counter(call.args[0] for call in log_event.mock_calls)
+        self.assertEqual(kinds[Event.PEER_BACKLOG] + kinds[Event.PEER_LOST], 0)
+        self.assertTrue(all(known[Topic.TARGETS.value] > last for known in offsets), offsets)
+
+
 class DiscoveryTest(PeerSyncCase):
     def test_entries_discover_each_other_through_the_store(self):
         async def scenario(fleet):
