Admission at the own interface: a request is refused only if it can't end in time

What callers saw: a request that would have ended in time was refused once its expected wait took a quarter of its time limit, however much time was left; and its caller was told to come back when the wait would be under that quarter, 9.5 s later where 3.0 s do.

Cause: MAX_WAIT_SHARE of the time limit. Nobody waits for a share of what he has: the caller has all of his time, and the work that is left says whether it is enough. The margin for the final frame of a sidecar was a share of the time left, too (5%, at most 0.1 s); it is the time of the frame's way.

Before: two new tests of tests/test_admission.py fail; after: none.

--- a/src/cicadatiller/entry/_admission.py
+++ b/src/cicadatiller/entry/_admission.py
@@ -10,7 +10,6 @@
 
 MAX_OPEN_REQUESTS = 4096
 MAX_QUEUED_REQUESTS = 512
-MAX_WAIT_SHARE = 0.25
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 60.0
 FULL_ENTRY_RETRY_S = 1.0
@@ -95,6 +94,5 @@
     if not expected.known:
         return 0.0 if queued < MAX_QUEUED_REQUESTS else FULL_ENTRY_RETRY_S
     late_s = expected.total_s - time_limit_s
-    excess_wait_s = expected.wait_s - MAX_WAIT_SHARE * time_limit_s
     full_queue_wait_s = expected.wait_s if queued >= MAX_QUEUED_REQUESTS else 0.0
-    return max(late_s, excess_wait_s, full_queue_wait_s, 0.0)
+    return max(late_s, full_queue_wait_s, 0.0)
--- a/src/cicadatiller/entry/_relay.py
+++ b/src/cicadatiller/entry/_relay.py
@@ -16,8 +16,8 @@
 RECONNECT_S = 0.2
 MOVE_AFTER_S = 1.0
 RECONNECT_LIMIT_S = 15.0
+# The time in which the sidecar's final frame arrives; an answer that is later comes too late.
 REPLY_MARGIN_S = 0.1
-REPLY_MARGIN_SHARE = 0.05
 WAIT_FOR_TARGET_S = 10.0
 MAX_ATTEMPTS = 4
 
@@ -443,4 +443,4 @@
     def _budget_s(self) -> float:
         """Return the remaining time, less a margin for the sidecar's final frame to arrive."""
         left_s = self._deadline_s - asyncio.get_running_loop().time()
-        return max(0.0, left_s - min(REPLY_MARGIN_S, REPLY_MARGIN_SHARE * left_s))
+        return max(0.0, left_s - REPLY_MARGIN_S)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -47,6 +47,23 @@
         self.assertGreater(waits[1], waits[0])
         self.assertLessEqual(waits[0], 100 * 4_000 / RATE)
 
+    def test_a_wait_is_no_reason_to_refuse_what_ends_in_time(self):
+        # Guards against refusals at a share of the time limit: the caller has all of it.
+        size = RequestSize(prompt_tokens=10_000)
+        time_s = size.prompt_tokens / RATE
+        for wait_s in (1.0, 5.0, 9.0 - time_s):
+            backlog = int(wait_s * RATE)
+            pool = targets(2, queued=backlog // 4_000 + 1, queued_prompt_tokens=backlog)
+            self.assertIsNone(self._refusal(size, 10.0, pool), wait_s)
+
+    def test_a_refused_caller_is_told_when_its_request_would_end_in_time(self):
+        size = RequestSize(prompt_tokens=10_000)
+        wait_s = 12.0
+        pool = targets(2, queued=100, queued_prompt_tokens=int(wait_s * RATE))
+        refusal = self._refusal(size, 10.0, pool)
+        self.assertIs(refusal.kind, ErrorKind.OVERLOADED)
+        self.assertAlmostEqual(refusal.retry_after_s, wait_s + size.prompt_tokens / RATE - 10.0)
+
     def test_one_free_target_is_enough(self):
         busy = targets(1, queued=200, queued_prompt_tokens=800_000)
         self.assertIsNone(self._refusal(RequestSize(prompt_tokens=1000), 10.0, busy + targets(1)))
