Waits and refusals: the caller's time and the work that is left decide, no shares of them

What callers saw: a prompt was refused as soon as it could not meet its latency target, though its caller had seconds left; when its first event was expected after 0.6 of that time; when it had waited so long that Retry-After could not be as long, at 0.6 of the remaining time; and after 0.7 of its wait any placement was taken or none. A call counted as needing half of its latency target.

Now: a request waits as long as it is expected to begin within its caller's time, and is refused at once if not. Whatever can't be forecast is expected after as long again as it has not come. Late requests are forecast by what those that can be on time leave them. Retry-After leaves time for the response; a time that a target states is told as it is. The value of a late response follows from the setting weights.late_share (it was a constant, 0.33).

First attempts and callers' retries were treated alike already; a resumed stream still waits as long as its caller, since how much of it is left is not known.

--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -73,7 +73,7 @@
         due_in_s=1.0,
         max_gap_s=0.3,
         worth=1.0,
-        caller_leaves_in_s=5.0,
+        latest_first_event_in_s=5.0,
     )
     shortest_s = float("inf")
     for _ in range(RUNS):
--- a/src/cicadatiller/gateway/_candidates.py
+++ b/src/cicadatiller/gateway/_candidates.py
@@ -117,7 +117,7 @@
         raise fail(
             ErrorKind.OVERLOADED,
             f"all targets of service {job.service} want no requests for {from_s - now_s:.1f} s",
-            retry_after_s=quiet_retry_after_s(job, from_s, now_s),
+            retry_after_s=quiet_retry_after_s(from_s, now_s),
         )
 
     def describe(
--- a/src/cicadatiller/gateway/_prompts.py
+++ b/src/cicadatiller/gateway/_prompts.py
@@ -26,6 +26,7 @@
         due_in_s=job.route.target_latency_s,
         max_gap_s=job.route.max_gap_s or job.route.target_latency_s,
         worth=weights.late_loss(fields.prompt_tokens),
+        late_worth=weights.late_worth(fields.prompt_tokens),
     )
 
 
@@ -35,7 +36,7 @@
     return replace(
         waiter.prompt,
         due_in_s=waiter.due_in_s(now_s),
-        caller_leaves_in_s=waiter.caller_leaves_at_s - now_s,
+        latest_first_event_in_s=waiter.latest_first_event_at_s - now_s,
     )
 
 
@@ -89,7 +90,7 @@
 def explain_refusal(placement: Placement, prompt: Prompt) -> str:
     """Return why a prompt is refused although a target had a free slot, for log and caller."""
     return (
-        f"its first event is expected in {placement.first_event_in_s:.1f} s, its caller waits for "
-        f"{prompt.caller_leaves_in_s:.1f} s, and the expected loss to others is "
+        f"its first event is expected in {placement.first_event_in_s:.1f} s, its caller can await it "
+        f"for {prompt.latest_first_event_in_s:.1f} s, and the expected loss to others is "
         f"{placement.loss_to_others:.1f}"
     )
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections import Counter
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -10,6 +10,7 @@
 from ..fleet import Target
 from ..kernel import ErrorKind, FailureError, fail
 from ..placement import (
+    Ahead,
     Backlog,
     Demand,
     LoadBoard,
@@ -28,19 +29,11 @@
 from ._candidates import CandidateTargets
 from ._job import Job
 from ._prompts import describe_prompt, explain_refusal, split_work, with_remaining_time
-from ._retry_after import latest_refusal_s, refused_retry_after_s, retry_after_s
-from ._waiter import (
-    Grant,
-    Waiter,
-    estimate_caller_leaves_at_s,
-    estimate_min_first_event_s,
-    estimate_min_service_s,
-)
+from ._retry_after import expected_free_s, quiet_retry_after_s, retry_after_s
+from ._waiter import Grant, Waiter, estimate_min_first_event_s, estimate_min_rest_s
 from ._weights import WorthWeights
 
 RECHECK_INTERVAL_S = 0.01
-# For this share of its maximum wait, a prompt is only placed if the loss to others is small.
-LOW_LOSS_WAIT_SHARE = 0.7
 FORECAST_MAX_AGE_S = 0.1
 
 
@@ -137,27 +130,20 @@
                 not sent in either case.
         """
         service = self._services(job.service)
-        waiting_since_s = self._loop.time() if is_resumed else job.request.read_at_s
-        caller_leaves_at_s = estimate_caller_leaves_at_s(job, waiting_since_s)
-        expires_at_s = caller_leaves_at_s - estimate_min_service_s(job, service)
         prompt = describe_prompt(job, service, self._weights)
-        if prompt is not None and not is_resumed:
-            refusable_until_s = latest_refusal_s(job, waiting_since_s) - 2 * RECHECK_INTERVAL_S
-            expires_at_s = min(expires_at_s, refusable_until_s)
         waiter = Waiter(
             job=job,
             prompt=prompt,
-            waiting_since_s=waiting_since_s,
+            waiting_since_s=self._loop.time() if is_resumed else job.request.read_at_s,
             is_resumed=is_resumed,
             min_first_event_s=estimate_min_first_event_s(prompt, service),
+            # How much of a resumed stream is left is not known.
+            min_rest_s=0.0 if is_resumed else estimate_min_rest_s(prompt, service),
             excluded=frozenset(excluded),
             only=only,
-            decide_at_s=waiting_since_s + LOW_LOSS_WAIT_SHARE * (expires_at_s - waiting_since_s),
-            expires_at_s=expires_at_s,
-            caller_leaves_at_s=caller_leaves_at_s,
             future=self._loop.create_future(),
         )
-        grant = self._try_place(waiter, self._count_ahead(waiter))
+        grant = self._try_place(waiter)
         if grant is not None:
             return grant
         self._waiters.append(waiter)
@@ -195,7 +181,10 @@
         """Return when the caller of a request that a target refused should retry, in seconds."""
         now_s = self._loop.time()
         usable_from_s = self._candidates.usable_from_s(job.service, now_s)
-        return refused_retry_after_s(job, usable_from_s, now_s)
+        if now_s < usable_from_s < math.inf:
+            return quiet_retry_after_s(usable_from_s, now_s)
+        needed_s = self._min_response_s(job, self._services(job.service))
+        return retry_after_s(job, self._expected_free_s(job.service), now_s, needed_s=needed_s)
 
     def refuse_waiting(self, refusal: Callable[[Job], FailureError | None]) -> None:
         """Refuse the waiting requests for which `refusal` returns an error."""
@@ -222,42 +211,42 @@
     def _check_waiters(self) -> None:
         self._recheck_handle = None
         now_s = self._loop.time()
-        ahead: Counter[str] = Counter()
         for waiter in sorted(self._waiters, key=lambda waiter: waiter.order(now_s)):
-            service = waiter.job.service
             if not waiter.future.done():
-                self._check_waiter(waiter, ahead[service], now_s)
+                self._check_waiter(waiter, now_s)
             if waiter.future.done():
                 self._waiters.remove(waiter)
-            else:
-                ahead[service] += 1
         if self._waiters:
             self._schedule_recheck(RECHECK_INTERVAL_S)
 
-    def _check_waiter(self, waiter: Waiter, ahead: int, now_s: float) -> None:
+    def _check_waiter(self, waiter: Waiter, now_s: float) -> None:
         try:
-            grant = self._try_place(waiter, ahead)
+            grant = self._try_place(waiter)
         except Exception as error:
             waiter.future.set_exception(error)
             return
         if grant is not None:
-            self._backlog(waiter).record_grant(now_s)
+            self._backlog(waiter).record_grant(now_s, is_late=waiter.is_late(now_s))
             waiter.future.set_result(grant)
         elif now_s >= waiter.expires_at_s:
             waited_s = now_s - waiter.waiting_since_s
             reason = f"no suitable target had a free slot within {waited_s:.1f} s"
             waiter.future.set_exception(self._refusal(waiter, reason))
 
-    def _count_ahead(self, waiter: Waiter) -> int:
-        now_s = self._loop.time()
+    def _count_ahead(self, waiter: Waiter, now_s: float) -> Ahead:
         own_key = waiter.order(now_s)
-        service = waiter.job.service
-        return sum(w.job.service == service and w.order(now_s) < own_key for w in self._waiters)
+        ahead = [
+            other
+            for other in self._waiters
+            if other.job.service == waiter.job.service and other.order(now_s) < own_key
+        ]
+        late = sum(other.is_late(now_s) for other in ahead)
+        return Ahead(on_time=len(ahead) - late, late=late)
 
     def _backlog(self, waiter: Waiter) -> Backlog:
         return self._backlogs.setdefault(waiter.job.service, Backlog())
 
-    def _try_place(self, waiter: Waiter, ahead: int) -> Grant | None:
+    def _try_place(self, waiter: Waiter) -> Grant | None:
         """Return the targets of a request, or None if it has to wait.
 
         Raises:
@@ -286,49 +275,62 @@
                 return self._apply_verdict(waiter, prompt, placement, service.engine, pool, now_s)
             grant = None
         if grant is None and waiter.only is None:
-            self._queue_or_refuse(waiter, ahead, now_s)
+            self._queue_or_refuse(waiter, now_s)
         return grant
 
     def _has_free_slot(self, pool: list[Target], model: EngineModel) -> bool:
         return any(self._board.load(t.instance_id).in_flight < model.slots for t in pool)
 
-    def _queue_or_refuse(self, waiter: Waiter, ahead: int, now_s: float) -> None:
-        """Let a request wait, or refuse it if requests ahead of it will take all slots until due.
+    def _queue_or_refuse(self, waiter: Waiter, now_s: float) -> None:
+        """Let a request wait, or refuse it if it would not be served before its caller leaves.
+
+        A resumed stream is never refused for that, as its caller has nowhere to come back to.
 
         Raises:
             FailureError: If it is refused.
         """
         backlog = self._backlog(waiter)
-        backlog.record_waiting(now_s)
-        due_in_s = waiter.due_in_s(now_s)
-        slot_interval_s = self._forecast(waiter.job.service, now_s).slot_interval_s
-        if not waiter.is_resumed and backlog.will_miss_deadline(
+        backlog.record_waiting(now_s, is_late=waiter.is_late(now_s))
+        if waiter.is_resumed or not backlog.is_lasting(now_s):
+            return
+        ahead = self._count_ahead(waiter, now_s)
+        wait_s = backlog.expected_wait_s(
             now_s,
-            due_in_s=due_in_s,
-            min_latency_s=waiter.min_first_event_s,
-            ahead=ahead,
-            slot_interval_s=slot_interval_s,
-        ):
-            interval_s = backlog.expected_interval_s(slot_interval_s)
-            reason = f"{ahead} requests are ahead, a slot becomes free every {interval_s:.2f} s"
-            raise self._refusal(waiter, f"{reason}, and this one is due in {due_in_s:.2f} s")
+            ahead,
+            is_late=waiter.is_late(now_s),
+            slot_interval_s=self._forecast(waiter.job.service, now_s).slot_interval_s,
+        )
+        left_s = waiter.expires_at_s - now_s
+        if wait_s > left_s:
+            reason = f"{ahead.count} requests are ahead, its turn is expected in {wait_s:.2f} s"
+            raise self._refusal(waiter, f"{reason}, and it has to begin in {left_s:.2f} s")
 
     def _refusal(self, waiter: Waiter, reason: str) -> FailureError:
         job = waiter.job
         now_s = self._loop.time()
-        loads = self._candidates.loads(job.service, now_s)
+        # What did not end while it was held will hardly end sooner.
+        expected_s = max(self._expected_free_s(job.service), now_s - waiter.waiting_since_s)
         return fail(
             ErrorKind.OVERLOADED,
             f"the targets of service {job.service} are overloaded: {reason}",
-            retry_after_s=retry_after_s(
-                job,
-                loads,
-                self._backlog(waiter),
-                now_s,
-                held_s=now_s - waiter.waiting_since_s,
-            ),
+            retry_after_s=retry_after_s(job, expected_s, now_s, needed_s=waiter.min_response_s),
         )
 
+    def _expected_free_s(self, service: str) -> float:
+        """Return the expected time until the targets of a service have room, in seconds."""
+        now_s = self._loop.time()
+        return expected_free_s(
+            self._candidates.loads(service, now_s),
+            now_s,
+            slot_interval_s=self._forecast(service, now_s).slot_interval_s,
+            backlog_age_s=self._backlogs.setdefault(service, Backlog()).lasted_s(now_s),
+        )
+
+    def _min_response_s(self, job: Job, service: Service | None) -> float:
+        prompt = describe_prompt(job, service, self._weights)
+        first_event_s = estimate_min_first_event_s(prompt, service)
+        return first_event_s + estimate_min_rest_s(prompt, service)
+
     def _place_call(self, pool: list[Target], now_s: float) -> Grant | None:
         host_id = place_call(self._candidates.describe_for_call(pool), now_s)
         if host_id is None:
@@ -380,9 +382,18 @@
         is_late = prompt.due_in_s <= 0 and not waiter.is_resumed
         is_late_in_backlog = is_late and self._backlog(waiter).is_lasting(now_s)
         demand = self._forecast(waiter.job.service, now_s).demand
-        must_decide = is_late_in_backlog or now_s >= waiter.decide_at_s
+        must_decide = is_late_in_backlog or self._will_wait_in_vain(waiter, now_s)
         return evaluate_placement(placement, prompt, demand, must_decide=must_decide)
 
+    def _will_wait_in_vain(self, waiter: Waiter, now_s: float) -> bool:
+        """Return whether what a prompt waits for is not expected within its caller's time.
+
+        What has not come for a time is not expected any sooner than after as long again. At the next
+        check less time would be left than its caller is told to come back after.
+        """
+        next_check_s = now_s + 2 * RECHECK_INTERVAL_S
+        return next_check_s - waiter.waiting_since_s >= waiter.expires_at_s - next_check_s
+
     def _forecast(self, service: str, now_s: float) -> _Forecast:
         """Return the forecast of a service, cached for `FORECAST_MAX_AGE_S`."""
         cached = self._forecasts.get(service)
--- a/src/cicadatiller/gateway/_weights.py
+++ b/src/cicadatiller/gateway/_weights.py
@@ -33,3 +33,7 @@
     def late_loss(self, prompt_tokens: int) -> float:
         """Return the loss if the response to a request is late."""
         return self.late_share * self.worth(prompt_tokens)
+
+    def late_worth(self, prompt_tokens: int) -> float:
+        """Return the value that a response still has if it is late."""
+        return self.worth(prompt_tokens) - self.late_loss(prompt_tokens)
--- a/src/cicadatiller/placement/__init__.py
+++ b/src/cicadatiller/placement/__init__.py
@@ -8,12 +8,13 @@
 from ._placement import Placement, ReservationShare
 from ._policy import place_prompt
 from ._prompt import Prompt
-from ._queue import Backlog, min_first_event_s, queue_sort_key
+from ._queue import Ahead, Backlog, min_first_event_s, queue_sort_key
 from ._slots import expected_slot_interval_s
 from ._verdict import Verdict, evaluate_placement
 from ._work import Work
 
 __all__ = [
+    "Ahead",
     "Backlog",
     "CallCandidate",
     "Candidate",
--- a/src/cicadatiller/placement/_policy.py
+++ b/src/cicadatiller/placement/_policy.py
@@ -17,7 +17,6 @@
 from ._memory import fits_host, reserve_at_host, share_memory
 from ._placement import Placement
 from ._prompt import Prompt
-from ._verdict import LATE_VALUE_SHARE
 
 # The most engines that a request may list: its helpers, and its host if that reserves memory.
 MAX_LISTED_ENGINES = 16
@@ -124,9 +123,7 @@
     others_loss = sum(view.loss_to_others(part_s) for view in members)
     own_loss = prompt.worth * late_probability(first_s, prompt.due_in_s)
     own_loss += prompt.worth * gap_late_probability(host.event_gap_s, prompt.max_gap_s)
-    abandonment_loss = (
-        LATE_VALUE_SHARE * prompt.worth * late_probability(first_s, prompt.caller_leaves_in_s)
-    )
+    abandonment_loss = prompt.late_worth * late_probability(first_s, prompt.latest_first_event_in_s)
     preference_cost = prompt.worth * LATENCY_WEIGHT * first_s / _time_scale_s(prompt)
     preference_cost += HELPER_COST * (size - 1) + _host_preference_cost(host, prompt)
     preference_cost += len(shares) * (RESERVATION_COST + reservation_risk * prompt.worth)
--- a/src/cicadatiller/placement/_prompt.py
+++ b/src/cicadatiller/placement/_prompt.py
@@ -14,7 +14,9 @@
         due_in_s: Time until the first event is due; zero or less if it is late already.
         max_gap_s: The longest event gap within the caller's latency target.
         worth: The value lost if the response is late.
-        caller_leaves_in_s: Time until the caller stops waiting for the first event.
+        late_worth: The value that a late response still has.
+        latest_first_event_in_s: Time for which the caller awaits the first event and can get the rest
+            of the response.
     """
 
     tokens: int
@@ -22,4 +24,5 @@
     due_in_s: float
     max_gap_s: float
     worth: float
-    caller_leaves_in_s: float = math.inf
+    late_worth: float = 0.0
+    latest_first_event_in_s: float = math.inf
--- a/src/cicadatiller/placement/_queue.py
+++ b/src/cicadatiller/placement/_queue.py
@@ -1,6 +1,7 @@
 """Queue order and backlog of requests that wait for a target."""
 
 import math
+from dataclasses import dataclass
 
 from ..routes import EngineModel
 from ._engine import pass_s, read_s
@@ -38,11 +39,29 @@
     return due_in_s < min_latency_s, due_in_s
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ahead:
+    """The requests ahead of one in the queue.
+
+    Attributes:
+        on_time: The number of those that can be on time.
+        late: The number of those that will be late.
+    """
+
+    on_time: int = 0
+    late: int = 0
+
+    @property
+    def count(self) -> int:
+        """Return the number of all of them."""
+        return self.on_time + self.late
+
+
 class Backlog:
     """Tracks how long requests of a service have been waiting in one entry's queue.
 
     During a short burst, requests wait. While arrivals exceed the capacity for longer, requests
-    that can't be on time any more are refused instead.
+    that would not be served before their callers leave are refused at once.
 
     Attributes:
         interval_s: The smoothed interval between grants to waiting requests of this backlog.
@@ -52,55 +71,61 @@
         self._started_s: float | None = None
         self._last_waiting_s = -math.inf
         self._last_grant_s = -math.inf
+        self._last_late_waiting_s = -math.inf
+        self._last_late_grant_s = -math.inf
+        self._late_interval_s = 0.0
         self.interval_s = 0.0
 
-    def record_waiting(self, now_s: float) -> None:
-        """Record that a request has to wait."""
+    def record_waiting(self, now_s: float, *, is_late: bool = False) -> None:
+        """Record that a request has to wait, and whether it will be late."""
         if self._started_s is None or now_s - self._last_waiting_s > BACKLOG_IDLE_S:
             self._started_s = now_s
             self._last_grant_s = now_s
             self.interval_s = 0.0
         self._last_waiting_s = now_s
-
-    def record_grant(self, now_s: float) -> None:
-        """Record that a waiting request got a target."""
-        interval_s = now_s - self._last_grant_s
-        self.interval_s += INTERVAL_GAIN * (interval_s - self.interval_s)
+        if is_late:
+            if now_s - self._last_late_waiting_s > BACKLOG_IDLE_S:
+                self._last_late_grant_s = now_s
+                self._late_interval_s = 0.0
+            self._last_late_waiting_s = now_s
+
+    def record_grant(self, now_s: float, *, is_late: bool = False) -> None:
+        """Record that a waiting request got a target, and whether it will be late."""
+        self.interval_s += INTERVAL_GAIN * (now_s - self._last_grant_s - self.interval_s)
         self._last_grant_s = now_s
+        if is_late:
+            interval_s = now_s - self._last_late_grant_s
+            self._late_interval_s += INTERVAL_GAIN * (interval_s - self._late_interval_s)
+            self._last_late_grant_s = now_s
 
     def is_lasting(self, now_s: float) -> bool:
         """Return whether the backlog has lasted too long to be a burst."""
         return self.lasted_s(now_s) >= MAX_BURST_S
 
-    def will_miss_deadline(
-        self,
-        now_s: float,
-        *,
-        due_in_s: float,
-        min_latency_s: float,
-        ahead: int,
-        slot_interval_s: float = math.inf,
-    ) -> bool:
-        """Return whether a request would be late if it waited, and so should be refused.
+    def expected_wait_s(
+        self, now_s: float, ahead: Ahead, *, is_late: bool, slot_interval_s: float = math.inf
+    ) -> float:
+        """Return the expected time until a request of this backlog gets a target, in seconds.
 
-        Always False during a burst.
+        One that will be late gets what those that can be on time leave, which may be nothing. What
+        has not come for a time is not expected any sooner than after as long again.
 
         Args:
             now_s: The time on the event loop's clock.
-            due_in_s: Time until the response, or its first event, is due.
-            min_latency_s: The shortest time from placement to the response or its first event.
-            ahead: The number of requests ahead in the queue.
+            ahead: The requests ahead of it.
+            is_late: Whether it will be late.
             slot_interval_s: The expected time until the next slot becomes free; infinity if it is
                 not known. `interval_s` counts then, which is too long if few requests wait.
         """
-        if not self.is_lasting(now_s):
-            return False
-        interval_s = self.expected_interval_s(slot_interval_s)
-        return due_in_s - min_latency_s < (ahead + 1) * interval_s
-
-    def expected_interval_s(self, slot_interval_s: float) -> float:
-        """Return `slot_interval_s`, or `interval_s` if that is infinite."""
-        return self.interval_s if slot_interval_s == math.inf else slot_interval_s
+        known_interval_s = self.interval_s if slot_interval_s == math.inf else slot_interval_s
+        interval_s = max(known_interval_s, now_s - self._last_grant_s)
+        if not is_late:
+            return (ahead.count + 1) * interval_s
+        late_interval_s = interval_s
+        if now_s - self._last_late_waiting_s <= BACKLOG_IDLE_S:
+            unserved_s = now_s - self._last_late_grant_s
+            late_interval_s = max(interval_s, self._late_interval_s, unserved_s)
+        return ahead.on_time * interval_s + (ahead.late + 1) * late_interval_s
 
     def lasted_s(self, now_s: float) -> float:
         """Return the age of the backlog; it is likely to last as long again."""
--- a/src/cicadatiller/placement/_verdict.py
+++ b/src/cicadatiller/placement/_verdict.py
@@ -10,11 +10,6 @@
 # worth. A late prompt gains nothing, so only the second share applies to it.
 MAX_LOSS_PER_GAIN = 0.6
 MAX_LOSS_PER_WORTH = 0.1
-# The value of a late response, as a share of the value that is lost by being late.
-LATE_VALUE_SHARE = 0.33
-# A prompt is refused if the expected time to its first event reaches this share of the time until
-# its caller leaves. The estimate is too uncertain to use more of that time.
-MAX_PATIENCE_SHARE = 0.6
 # Prefill costs nothing while it takes less than `FREE_PREFILL_LOAD` of the targets' time. Above,
 # the cost in worth of a second of prefill is `PREFILL_PRICE` times the excess. From
 # `FULL_PREFILL_LOAD` on, prefill demand exceeds the capacity.
@@ -38,8 +33,8 @@
 
     A prompt is placed if its gain outweighs the loss to others. One that is late already gains
     nothing and waits until its placement delays hardly anyone. While prefill capacity is scarce,
-    one that needs much prefill for its worth waits, too. One whose first event is expected after
-    its caller has left is refused.
+    one that needs much prefill for its worth waits, too. One whose response is expected to end
+    after its caller has left is refused.
 
     Args:
         placement: The best placement.
@@ -47,7 +42,7 @@
         demand: The expected demand.
         must_decide: Whether the prompt may not wait any longer and must be placed or refused.
     """
-    if placement.first_event_in_s >= MAX_PATIENCE_SHARE * prompt.caller_leaves_in_s:
+    if placement.first_event_in_s >= prompt.latest_first_event_in_s:
         return Verdict.REFUSE
     gain = prompt.worth - placement.own_loss
     prefill_s = placement.part_prefill_s * (1 + len(placement.helper_ids))
@@ -59,4 +54,4 @@
     waiting_is_futile = prompt.due_in_s <= 0 and demand.prefill_load > FULL_PREFILL_LOAD
     if not must_decide and not waiting_is_futile:
         return Verdict.WAIT
-    return Verdict.PLACE if loss <= gain + LATE_VALUE_SHARE * prompt.worth else Verdict.REFUSE
+    return Verdict.PLACE if loss <= gain + prompt.late_worth else Verdict.REFUSE
