Shutdown: requests that are open at the end of the grace are answered

What callers saw: in a planned stop, a request that was taken before the signal or in the first 2.5 s after it, and was still open when the process had to end, lost its connection without an answer, requests that may not be repeated among them, and also one that still waited for a target and had never run.

Cause: the shutdown closed all connections at the end of the grace. Requests that came later than 2.5 s after the signal were refused if their deadline lay beyond the end, but the open ones knew of no end but their own deadline.

Why this works: the end of the grace, less 0.3 s for the answers, is brought into the time limits of all open requests. One that was sent to a target gets 502, as it may have run; one that was not gets 503 with Retry-After, as it has not run and never will. A stream whose head is out is reset as before.

Before: three tests of tests/test_gateway.py fail; one of them stood for the cut (test_unfinished_request_is_cut_off_before_the_process_is_killed) and asks for the answer now.

--- a/src/cicadatiller/gateway/_forwarder.py
+++ b/src/cicadatiller/gateway/_forwarder.py
@@ -10,6 +10,7 @@
 from ._attempt import AttemptServices
 from ._job import Job
 from ._metrics import GatewayMetrics
+from ._open_requests import OpenRequests
 from ._outcomes import AttemptOutcome
 from ._progress import Progress
 from ._request_forwarding import ForwardingServices, RequestForwarding
@@ -31,6 +32,7 @@
         budget: Limits retries.
         guard: Refuses requests under which targets crash.
         metrics: Records attempts and latencies.
+        open_requests: Ends requests at their deadlines.
         on_failure: Called with the target and the outcome of each failed attempt.
         is_alive: Runs a liveness check of an engine.
     """
@@ -45,6 +47,7 @@
         budget: RetryBudget,
         guard: RequestGuard,
         metrics: GatewayMetrics,
+        open_requests: OpenRequests,
         on_failure: Callable[[Target, AttemptOutcome], None],
         on_head: Callable[[Target, ResponseHead, float], None],
         is_alive: Callable[[Target], Awaitable[bool]],
@@ -59,6 +62,7 @@
             is_alive=is_alive,
         )
         self._budget = budget
+        self._open_requests = open_requests
         self._services = ForwardingServices(
             attempts=attempts, budget=budget, guard=guard, on_failure=on_failure
         )
@@ -83,17 +87,23 @@
             services=self._services, job=job, responder=responder, progress=progress
         )
         try:
-            async with asyncio.timeout_at(job.deadline_s):
+            async with self._open_requests.limit(job.deadline_s):
                 return await forwarding.run()
         except TimeoutError:
             raise _deadline_error(progress) from None
         except FailureError as error:
-            if not progress.may_have_run:
+            if not _may_have_run(error, progress):
                 raise
             unknown = error.failure.with_run_state(RunState.OUTCOME_UNKNOWN)
             raise FailureError(unknown) from error
 
 
+def _may_have_run(error: FailureError, progress: Progress) -> bool:
+    """Return whether a failed request may have run; one that was cut off may be running still."""
+    is_cut_off = error.failure.kind is ErrorKind.STOPPING and progress.sends > 0
+    return progress.may_have_run or is_cut_off
+
+
 def _deadline_error(progress: Progress) -> FailureError:
     sent = progress.may_have_run or progress.sends > 0
     return fail(
--- a/src/cicadatiller/gateway/_handler.py
+++ b/src/cicadatiller/gateway/_handler.py
@@ -12,6 +12,7 @@
 from ._failure_response import failure_response, failure_status
 from ._forwarder import Forwarder
 from ._metrics import GatewayMetrics
+from ._open_requests import OpenRequests
 from ._progress import Progress
 from ._wire import RequestFields, WireCodec
 
@@ -29,8 +30,7 @@
         metrics: Counts responses and failures.
         stall: Detects stalls of the process.
         synced: Set once configuration and targets have been read.
-        ends_at_s: Returns the loop time at which open requests are cut off; infinite unless the
-            process is shutting down.
+        open_requests: Knows when requests end as the entry shuts down.
         rng: Selects one of a route's services by weight.
     """
 
@@ -43,7 +43,7 @@
         metrics: GatewayMetrics,
         stall: StallWatch,
         synced: asyncio.Event,
-        ends_at_s: Callable[[], float],
+        open_requests: OpenRequests,
         rng: random.Random,
     ) -> None:
         self._codec = codec
@@ -52,7 +52,7 @@
         self._metrics = metrics
         self._stall = stall
         self._synced = synced
-        self._ends_at_s = ends_at_s
+        self._open_requests = open_requests
         self._rng = rng
         self._loop = asyncio.get_running_loop()
 
@@ -68,7 +68,7 @@
         table = self._table()
         try:
             job = admit(request, fields, table, self._rng)
-            if job.deadline_s > self._ends_at_s():
+            if job.deadline_s > self._open_requests.ends_at_s:
                 raise fail(ErrorKind.STOPPING, "the entry shuts down before the request's deadline")
             outcome = await self._forwarder.forward(job, responder, progress)
         except FailureError as error:
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -29,6 +29,7 @@
 from ._members import Membership
 from ._metrics import GatewayMetrics
 from ._node import NodeSettings
+from ._open_requests import OpenRequests
 from ._orders import EngineClient
 from ._peer_sync import PeerSync
 from ._prober import EngineProber
@@ -38,6 +39,7 @@
 from ._retry_budget import RetryBudget
 from ._scheduler import Scheduler
 from ._settings import GatewaySettings
+from ._shutdown import drain
 from ._sinks import DocumentDecoder
 from ._slot_arbiter import SlotArbiter
 from ._status import StatusServer
@@ -53,11 +55,6 @@
 PEER_SELECTION_INTERVAL_S = 30.0
 RUN_ID_DIGITS = 6
 
-# The load balancer polls readiness once a second and removes an entry after two failed polls.
-BALANCER_DELAY_S = 2.5
-SHUTDOWN_MARGIN_S = 0.5
-SHUTDOWN_POLL_S = 0.05
-
 MAX_MESH_DELAY_S = 0.3
 
 
@@ -115,7 +112,7 @@
         )
         self._synced = asyncio.Event()
         self._figures = FiguresLog(metrics=self._metrics, gauges=self._gauges)
-        self._ends_at_s = math.inf
+        self._open_requests = OpenRequests()
         self._clock = ClockWatch(loop_time_s=self._loop.time, boot_time_s=boot_time_s)
         self._budget = RetryBudget(
             ratio=node.bounds.retry_ratio,
@@ -192,7 +189,14 @@
         self._tasks.keep_running(self._sweep, name="sweep")
         log_event(Event.PROCESS_STARTED, name=self._node.name, **asdict(self._build))
         await stopping.wait()
-        await self._shut_down()
+        await drain(
+            name=self._node.name,
+            callers=self._caller_server,
+            status=self._status_server,
+            open_requests=self._open_requests,
+            shutdown_s=self._node.bounds.shutdown_s,
+        )
+        await self.close()
 
     async def _start_mesh(self) -> None:
         """Accept peers once callers can be served, or after `MAX_MESH_DELAY_S`.
@@ -225,32 +229,6 @@
         await self._tasks.close()
         self._pool.close()
 
-    async def _shut_down(self) -> None:
-        """Drain: accept callers until the balancer removes this entry, then finish open requests.
-
-        Requests that are still open `SHUTDOWN_MARGIN_S` before the process is killed are cut off.
-        """
-        log_event(
-            Event.PROCESS_STOPPING,
-            name=self._node.name,
-            connections=self._caller_server.open_connections,
-        )
-        self._status_server.is_stopping = True
-        self._caller_server.announce_close()
-        deadline_s = self._loop.time() + self._node.bounds.shutdown_s - SHUTDOWN_MARGIN_S
-        await asyncio.sleep(BALANCER_DELAY_S)
-        self._ends_at_s = deadline_s
-        self._caller_server.stop_listening()
-        self._caller_server.drain()
-        while self._caller_server.open_connections and self._loop.time() < deadline_s:
-            await asyncio.sleep(SHUTDOWN_POLL_S)
-        log_event(
-            Event.PROCESS_STOPPED,
-            name=self._node.name,
-            connections=self._caller_server.open_connections,
-        )
-        await self.close()
-
     async def _sweep(self) -> None:
         next_selection_s = self._loop.time() + PEER_SELECTION_INTERVAL_S
         while True:
@@ -388,6 +366,7 @@
             budget=self._budget,
             guard=self._guard,
             metrics=self._metrics,
+            open_requests=self._open_requests,
             on_failure=self._failures.record_attempt,
             on_head=self._notices.record_head,
             is_alive=self._prober.is_alive,
@@ -399,7 +378,7 @@
             metrics=self._metrics,
             stall=self._stall,
             synced=self._synced,
-            ends_at_s=lambda: self._ends_at_s,
+            open_requests=self._open_requests,
             rng=random.Random(),
         )
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -168,16 +168,62 @@
         took_s = self.run_scenario(scenario)
         self.assertTrue(2.0 <= took_s <= 3.0)
 
-    def test_unfinished_request_is_cut_off_before_the_process_is_killed(self):
+    # The next ones guard against requests that are taken in the grace of a planned stop, or before
+    # it, and are cut at its end without an answer.
+
+    def test_unfinished_request_is_answered_before_the_process_is_killed(self):
         async def scenario(fleet):
             fleet.targets["t-1"].work_s = 60
-            asking = fleet.loop.create_task(fleet.ask("unsafe", deadline_ms=30_000))
+            before = fleet.loop.create_task(fleet.ask("unsafe", deadline_ms=30_000))
             await asyncio.sleep(0.3)
             began_s = fleet.loop.time()
-            await fleet.stop()
+            stopped = fleet.stop()
+            await asyncio.sleep(2.0)
+            late = fleet.loop.create_task(fleet.ask("unsafe", deadline_ms=30_000))
+            await stopped
             took_s = fleet.loop.time() - began_s
-            return took_s, await asking
+            return took_s, await before, await late, len(fleet.runs)
 
-        took_s, reply = self.run_scenario(scenario, targets=("pool",))
+        took_s, before, late, runs = self.run_scenario(scenario, targets=("pool",))
         self.assertLess(took_s, 8.0)
-        self.assertFalse(reply.whole)
+        # They ran, so nothing may state that they did not.
+        self.assertEqual(runs, 2)
+        self.assertEqual((before.status, before.whole), (502, True))
+        self.assertEqual((late.status, late.whole), (502, True))
+
+    def test_request_that_waits_at_the_end_of_the_grace_is_refused_as_not_run(self):
+        async def scenario(fleet):
+            fleet.targets["t-1"].work_s = 60
+            fleet.register(fleet.targets["t-1"], slots=1)
+            await asyncio.sleep(1.0)
+            running = fleet.loop.create_task(fleet.ask("unsafe", deadline_ms=60_000))
+            await asyncio.sleep(0.1)
+            stopped = fleet.stop()
+            await asyncio.sleep(2.3)
+            waiting = fleet.loop.create_task(fleet.ask("unsafe", deadline_ms=60_000))
+            await stopped
+            return await running, await waiting, len(fleet.runs)
+
+        running, waiting, runs = self.run_scenario(scenario, targets=("pool",))
+        self.assertEqual(runs, 1)
+        self.assertEqual((running.status, running.whole), (502, True))
+        self.assertEqual((waiting.status, waiting.whole), (503, True))
+        self.assertGreater(float(waiting.headers["retry-after"]), 0.0)
+
+    def test_request_on_a_kept_connection_after_the_end_of_the_grace_is_refused(self):
+        async def scenario(fleet):
+            fleet.targets["t-1"].work_s = 60
+            transport, caller = await fleet.open_caller()
+            transport.write(fleet.render("unsafe", deadline_ms=30_000, request_id="first"))
+            await asyncio.sleep(0.3)
+            stopped = fleet.stop()
+            await asyncio.sleep(1.0)
+            transport.write(fleet.render("unsafe", deadline_ms=30_000, request_id="second"))
+            await stopped
+            return bytes(caller.data), len(fleet.runs)
+
+        data, runs = self.run_scenario(scenario, targets=("pool",))
+        self.assertEqual(runs, 1)
+        # The second one was sent ahead: it is answered, or the close tells that it was not read.
+        self.assertEqual(data.count(b"HTTP/1.1 502"), 1)
+        self.assertIn(data.count(b"HTTP/1.1 503"), (0, 1))
