Calls: what calls take and the caller's time decide when another target is tried

What callers saw: an idempotent call was sent to a second target after 2.5 times its latency target, whatever such calls take. With a target of 50 ms and calls of 0.4 s, each of five ran twice; with a target of 1 s and a caller that waits for 0.6 s, a target that does not respond cost the whole call (504), though another one was free.

Cause: CALL_TIMEOUT_FACTOR, a multiple of the aim.

Now a call is given up as a prompt is, after three times what it is expected to take and half a second, and at the latest when another target could just respond within the caller's time.

Before: two new tests of tests/test_gateway_retries.py fail (10 runs of 5 calls; 504); after: none.

--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -39,11 +39,9 @@
 OK = 200
 FIRST_SERVER_ERROR = 500
 
-# An idempotent call is retried on another target after this multiple of the route's target latency.
-CALL_TIMEOUT_FACTOR = 2.5
-# A prompt's first event times out after this multiple of its expected time, plus the slack.
-FIRST_EVENT_TIMEOUT_FACTOR = 3.0
-FIRST_EVENT_TIMEOUT_SLACK_S = 0.5
+# A response, or its first event, times out after this multiple of its expected time, plus the slack.
+HEAD_TIMEOUT_FACTOR = 3.0
+HEAD_TIMEOUT_SLACK_S = 0.5
 # Multiplies the first-event timeout of a target that passes the liveness check.
 ALIVE_TIMEOUT_FACTOR = 2.0
 # The shortest timeout after a discarded response that may have been the expected one.
@@ -317,11 +315,18 @@
         return self._services.codec.encode_request(job.request, fields)
 
     def _head_timeout_s(self) -> float:
-        """Return the timeout for the response head."""
+        """Return the timeout for the response head.
+
+        A call is given up soon enough for another target to respond within the caller's time.
+        """
         placement = self.grant.placement
-        if placement is None:
-            return CALL_TIMEOUT_FACTOR * self._job.route.target_latency_s
-        return FIRST_EVENT_TIMEOUT_FACTOR * placement.first_event_in_s + FIRST_EVENT_TIMEOUT_SLACK_S
+        expected_s = self.grant.host_call_s if placement is None else placement.first_event_in_s
+        usual_s = HEAD_TIMEOUT_FACTOR * expected_s
+        timeout_s = usual_s + HEAD_TIMEOUT_SLACK_S
+        if placement is not None:
+            return timeout_s
+        left_s = self._job.deadline_s - self._now_s()
+        return min(timeout_s, max(usual_s, left_s - usual_s))
 
     async def _read_refusal(
         self, connection: EgressConnection, head: ResponseHead
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -423,7 +423,11 @@
         self._board.add(works)
         self._listener.work_added(works)
         return replace(
-            grant, host_in_flight=load.in_flight, host_pace=load.pace, host_wait_s=wait_s
+            grant,
+            host_in_flight=load.in_flight,
+            host_pace=load.pace,
+            host_wait_s=wait_s,
+            host_call_s=load.smoothed_call_s,
         )
 
     def _new_work_id(self) -> str:
--- a/src/cicadatiller/gateway/_waiter.py
+++ b/src/cicadatiller/gateway/_waiter.py
@@ -28,6 +28,7 @@
         host_in_flight: Requests in flight on the host when assigned, including this one.
         host_pace: Last known slowdown of the host relative to its engine model.
         host_wait_s: Estimated time until the host finishes the prefills that were queued before.
+        host_call_s: Recent duration of calls at the host; 0 if it is not known.
     """
 
     work_id: str
@@ -37,6 +38,7 @@
     host_in_flight: int = 0
     host_pace: float = 1.0
     host_wait_s: float = 0.0
+    host_call_s: float = 0.0
 
     @property
     def target_ids(self) -> tuple[str, ...]:
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -52,6 +52,29 @@
                 if kind == "stream":
                     self.assertEqual(reply.events, [1, 2, 3, 4, 5])
 
+    # The next two guard against calls that are given up at a multiple of their latency target,
+    # however long such calls take, and however much time their callers have.
+
+    def test_call_that_takes_as_long_as_others_is_not_sent_to_a_second_target(self):
+        async def scenario(fleet):
+            for target in fleet.targets.values():
+                target.work_s = 0.4
+            replies = [await fleet.ask("safe") for _ in range(5)]
+            return [reply.status for reply in replies], len(fleet.runs)
+
+        config = configuration(3, routes=[route("safe", target_latency_ms=50)])
+        self.assertEqual(self.run_scenario(scenario, config=config), ([200] * 5, 5))
+
+    def test_call_without_a_response_is_given_up_in_time_for_another_target(self):
+        async def scenario(fleet):
+            await fleet.ask_many(8, "safe")
+            self.fail_first(fleet, "hang")
+            return await fleet.ask("safe", deadline_ms=600)
+
+        config = configuration(3, routes=[route("safe", target_latency_ms=1000)])
+        reply = self.run_scenario(scenario, config=config)
+        self.assertEqual((reply.status, reply.whole), (200, True))
+
     def test_non_idempotent_call_waits_for_its_target(self):
         async def scenario(fleet):
             self.fail_first(fleet, "hang")
