--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import math
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -143,7 +144,7 @@
             only=only,
             future=self._loop.create_future(),
         )
-        grant = self._try_place(waiter)
+        grant = self._try_place(waiter, self._count_ahead(waiter))
         if grant is not None:
             return grant
         self._waiters.append(waiter)
@@ -211,17 +212,21 @@
     def _check_waiters(self) -> None:
         self._recheck_handle = None
         now_s = self._loop.time()
+        ahead: defaultdict[str, Ahead] = defaultdict(Ahead)
         for waiter in sorted(self._waiters, key=lambda waiter: waiter.order(now_s)):
+            service = waiter.job.service
             if not waiter.future.done():
-                self._check_waiter(waiter, now_s)
+                self._check_waiter(waiter, ahead[service], now_s)
             if waiter.future.done():
                 self._waiters.remove(waiter)
+            else:
+                ahead[service] = ahead[service].followed_by(is_late=waiter.is_late(now_s))
         if self._waiters:
             self._schedule_recheck(RECHECK_INTERVAL_S)
 
-    def _check_waiter(self, waiter: Waiter, now_s: float) -> None:
+    def _check_waiter(self, waiter: Waiter, ahead: Ahead, now_s: float) -> None:
         try:
-            grant = self._try_place(waiter)
+            grant = self._try_place(waiter, ahead)
         except Exception as error:
             waiter.future.set_exception(error)
             return
@@ -233,20 +238,19 @@
             reason = f"no suitable target had a free slot within {waited_s:.1f} s"
             waiter.future.set_exception(self._refusal(waiter, reason))
 
-    def _count_ahead(self, waiter: Waiter, now_s: float) -> Ahead:
+    def _count_ahead(self, waiter: Waiter) -> Ahead:
+        now_s = self._loop.time()
         own_key = waiter.order(now_s)
-        ahead = [
-            other
-            for other in self._waiters
-            if other.job.service == waiter.job.service and other.order(now_s) < own_key
-        ]
-        late = sum(other.is_late(now_s) for other in ahead)
-        return Ahead(on_time=len(ahead) - late, late=late)
+        ahead = Ahead()
+        for other in self._waiters:
+            if other.job.service == waiter.job.service and other.order(now_s) < own_key:
+                ahead = ahead.followed_by(is_late=other.is_late(now_s))
+        return ahead
 
     def _backlog(self, waiter: Waiter) -> Backlog:
         return self._backlogs.setdefault(waiter.job.service, Backlog())
 
-    def _try_place(self, waiter: Waiter) -> Grant | None:
+    def _try_place(self, waiter: Waiter, ahead: Ahead) -> Grant | None:
         """Return the targets of a request, or None if it has to wait.
 
         Raises:
@@ -275,13 +279,13 @@
                 return self._apply_verdict(waiter, prompt, placement, service.engine, pool, now_s)
             grant = None
         if grant is None and waiter.only is None:
-            self._queue_or_refuse(waiter, now_s)
+            self._queue_or_refuse(waiter, ahead, now_s)
         return grant
 
     def _has_free_slot(self, pool: list[Target], model: EngineModel) -> bool:
         return any(self._board.load(t.instance_id).in_flight < model.slots for t in pool)
 
-    def _queue_or_refuse(self, waiter: Waiter, now_s: float) -> None:
+    def _queue_or_refuse(self, waiter: Waiter, ahead: Ahead, now_s: float) -> None:
         """Let a request wait, or refuse it if it would not be served before its caller leaves.
 
         A resumed stream is never refused for that, as its caller has nowhere to come back to.
@@ -293,7 +297,6 @@
         backlog.record_waiting(now_s, is_late=waiter.is_late(now_s))
         if waiter.is_resumed or not backlog.is_lasting(now_s):
             return
-        ahead = self._count_ahead(waiter, now_s)
         wait_s = backlog.expected_wait_s(
             now_s,
             ahead,
--- a/src/cicadatiller/placement/_queue.py
+++ b/src/cicadatiller/placement/_queue.py
@@ -51,6 +51,12 @@
     on_time: int = 0
     late: int = 0
 
+    def followed_by(self, *, is_late: bool) -> "Ahead":
+        """Return those ahead of the next request, behind one that can be on time or will be late."""
+        if is_late:
+            return Ahead(on_time=self.on_time, late=self.late + 1)
+        return Ahead(on_time=self.on_time + 1, late=self.late)
+
     @property
     def count(self) -> int:
         """Return the number of all of them."""
