--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -50,6 +50,7 @@
 from cicadatiller.standins._http_server import Reply
 from cicadatiller.targets import HttpEngine, ModelRef, StreamSpec, TargetUnreachableError
 
+from .support.gateways import GatewayCase
 from .support.standin_servers import serve_routes
 from .support.streams import NetworkCase
 
@@ -397,6 +398,51 @@
         self.assertIsNone(_parse_json_object(nested.encode()))
 
 
+ODD_VALUES = (
+    *(0, -1, 2**63 - 1, HUGE, 1e300, True, None, "", "x" * 5_000, "\u202e"),
+    *([], {}, [[[]]], "255.255.255.255:1", "0.0.0.0:65535", "10.0.0.7:000065999", "::1:80"),
+)
+
+
+class OddRecordsInAFleetTest(GatewayCase):
+    # Guards against an entry of another writer, readable or not, that ends a task of an entry or
+    # keeps it from what targets write later.
+
+    def odd_documents(self):
+        for name, usual in (REGISTRATION | {"peer_address": "10.0.0.9:82"}).items():
+            for odd in ODD_VALUES:
+                yield REGISTRATION | {"peer_address": "10.0.0.9:82", "service": "pool"} | {
+                    name: odd
+                }
+            yield {name: usual}
+
+    def test_tasks_go_on_and_later_changes_are_seen(self):
+        async def scenario(fleet):
+            for number, document in enumerate(self.odd_documents()):
+                for topic in ("keyed.servers", "keyed.status", "keyed.op"):
+                    fleet.store.write(topic, f"odd-{number}", document)
+            for number, value in enumerate(UNREADABLE_VALUES.values()):
+                for topic in ("keyed.servers", "keyed.status", "keyed.op"):
+                    fleet.store.write(topic, f"0-{number}", value)
+            fleet.store.write("keyed.op", "evacuate/" + "x" * 200, b"[" * 1000)
+            await asyncio.sleep(2.0)
+            added = await fleet.add_target("pool")
+            fleet.register(fleet.targets["t-1"], state="draining")
+            await asyncio.sleep(2.0)
+            known = [gateway._directory for gateway in fleet.gateways]
+            failures = [gateway._gauges()["task_failures"] for gateway in fleet.gateways]
+            seen = [directory.find(added.instance_id) is not None for directory in known]
+            states = [directory.find("t-1").record.state for directory in known]
+            replies = await fleet.ask_many(20, "safe", deadline_ms=9000)
+            return failures, seen, states, {reply.status for reply in replies}
+
+        failures, seen, states, statuses = self.run_scenario(scenario, entries=2)
+        self.assertEqual(statuses, {200})
+        self.assertEqual(failures, [0, 0])
+        self.assertEqual(seen, [True, True])
+        self.assertEqual(states, [TargetState.LEAVING] * 2)
+
+
 class FailingTasksTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_background_task_that_fails_again_and_again_is_counted(self):
         tasks = TaskSet()
