--- a/src/cicadatiller/kernel/_json.py
+++ b/src/cicadatiller/kernel/_json.py
@@ -13,7 +13,8 @@
 # No document of ours is nested nearly as deeply.
 MAX_NESTING = 64
 
-_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+# An unterminated string reaches to the end, where the parser stops.
+_STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\\?\Z)', re.DOTALL)
 _OTHER_THAN_BRACKETS = bytes(byte for byte in range(256) if byte not in b"[]{}")
 
 
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -9,6 +9,7 @@
 import resource
 import subprocess
 import sys
+import time
 import unittest
 import zlib
 from unittest import mock
@@ -238,6 +239,15 @@
         for value in (strings, [[] for _ in range(1000)], [{"a": [1]} for _ in range(100)]):
             self.assertEqual(load_json(json.dumps(value).encode()), value)
 
+    def test_the_depth_of_a_document_with_an_unterminated_string_is_found_in_linear_time(self):
+        # Guards against a search that begins again at each of many escaped quotes.
+        brackets = b"[]" * 100
+        began_s = time.process_time()
+        for end in (b"", b"\\"):
+            with self.assertRaises(DocumentError):
+                load_json(b"[" + brackets + b'"' + b'\\"' * 100_000 + end)
+        self.assertLess(time.process_time() - began_s, 1.0)
+
     def test_a_process_with_a_small_stack_outlives_nested_registrations(self):
         def limit_stack():
             _, hard = resource.getrlimit(resource.RLIMIT_STACK)
