--- a/src/cicadatiller/gateway/_open_requests.py
+++ b/src/cicadatiller/gateway/_open_requests.py
@@ -26,8 +26,8 @@
 
         Raises:
             TimeoutError: At the deadline.
-            FailureError: STOPPING, at the end of a shutdown before it. Whether the request has run is
-                for the caller of this function to say.
+            FailureError: STOPPING, at the end of a shutdown. Its run state is that of a request that
+                did not run; the caller of this function knows whether it was sent.
         """
         try:
             async with asyncio.timeout_at(min(deadline_s, self.ends_at_s)) as timeout:
--- a/src/cicadatiller/gateway/_retry_after.py
+++ b/src/cicadatiller/gateway/_retry_after.py
@@ -9,9 +9,9 @@
 from ._job import Job
 
 NO_TARGET_RETRY_S = 1.0
-# A caller that comes back sooner finds what it has left.
+# Within this time the load hardly changes.
 MIN_RETRY_AFTER_S = 0.1
-# No forecast of the load holds for longer.
+# What the load will be after this time is not known.
 MAX_RETRY_AFTER_S = 5.0
 RETRY_JITTER = 0.5
 # Of the time until targets take requests again: the wait of a caller is at least that long.
--- a/src/cicadatiller/gateway/_scheduler.py
+++ b/src/cicadatiller/gateway/_scheduler.py
@@ -288,7 +288,7 @@
     def _queue_or_refuse(self, waiter: Waiter, ahead: Ahead, now_s: float) -> None:
         """Let a request wait, or refuse it if it would not be served before its caller leaves.
 
-        A resumed stream is never refused for that, as its caller has nowhere to come back to.
+        A resumed stream is never refused for that, as how much of it is left is not known.
 
         Raises:
             FailureError: If it is refused.
@@ -391,8 +391,8 @@
     def _will_wait_in_vain(self, waiter: Waiter, now_s: float) -> bool:
         """Return whether what a prompt waits for is not expected within its caller's time.
 
-        What has not come for a time is not expected any sooner than after as long again. At the next
-        check less time would be left than its caller is told to come back after.
+        What has not come for a time is not expected any sooner than after as long again. Two more
+        checks of the queue may pass until the caller is told.
         """
         next_check_s = now_s + 2 * RECHECK_INTERVAL_S
         return next_check_s - waiter.waiting_since_s >= waiter.expires_at_s - next_check_s
