--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 from fleet import APP, MODEL, ZONES, Callers, SoundWorker, configuration, measure_lag, register
-from fleet import start_endless_worker
+from fleet import resident_bytes, start_endless_worker
 from standins import HTROP, Entry, Store, free_host, free_port, run
 
 TROUBLE = os.environ.get("TROUBLE", "1")
@@ -23,13 +23,13 @@
 ORDER_PAUSE_S = (0.0, 0.02)
 ORDER_WORK_S = 0.045
 ORDER_TIMEOUT_MS = 2500
-STREAMS_PER_S = 14.0
+STREAMS_PER_S = 24.0
 # The entry has been in touch for `contact_ms` by then.
 CALM_S = 5.0
 CRASH_INTERVAL_S = 3.0
 DOWN_S = 2.5
-CRASHES = 10
-QUIET_S = 30.0
+CRASHES = 28
+WATCHED_S = 85.0
 # The platform kills a process that exceeds `memory_mb`.
 MEMORY_BYTES = 300 * 1024 * 1024
 MEMORY_CHECK_S = 0.02
@@ -51,13 +51,6 @@
         await asyncio.sleep(CRASH_INTERVAL_S - DOWN_S)
 
 
-def resident_bytes(pid):
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024
-    return 0
-
-
 async def enforce_memory(entry, record, over, seen):
     """Kill the entry's process if it exceeds its memory, as the platform does."""
     while entry.process.returncode is None:
@@ -115,7 +108,7 @@
         callers = Callers(
             entry, record, order_pause_s=ORDER_PAUSE_S, streams_per_s=STREAMS_PER_S
         )
-        until_s = record.now_s() + CALM_S + QUIET_S + 3.0
+        until_s = record.now_s() + CALM_S + WATCHED_S + 3.0
         tasks.append(asyncio.create_task(enforce_memory(entry, record, over, sizes)))
         tasks += [asyncio.create_task(callers.send_orders(until_s)) for _ in range(ORDER_CLIENTS)]
         tasks.append(asyncio.create_task(callers.send_streams(until_s)))
@@ -123,7 +116,7 @@
         if HAS_CRASHES:
             tasks.append(asyncio.create_task(crash_by_turns(models, store, record, over)))
         try:
-            await asyncio.wait_for(over.wait(), QUIET_S)
+            await asyncio.wait_for(over.wait(), WATCHED_S)
         except TimeoutError:
             record.write("the entry stayed within its memory")
         # What the clients whose connections the kill closed have seen.
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -267,3 +267,11 @@
 
     process.recording = asyncio.create_task(keep_record())
     return process
+
+
+def resident_bytes(pid):
+    """Return the resident memory of a process; 0 if it has ended."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
+PAGE_BYTES = 1024 * 1024
 SETTINGS = """\
 node_name = "{name}"
 role = "entry"
@@ -34,7 +35,7 @@
 [limits]
 cpu_share = 0.817
 cpu_cores = 1
-memory_mb = 300
+memory_mb = {memory_mb}
 max_fds = 4100
 [bounds]
 {bounds}[platform]
@@ -207,6 +208,12 @@
         shown = "removed" if value is None else value
         self._record.write(f"store: acknowledged {topic} {key}: {json.dumps(shown)[:200]}")
 
+    def write_raw(self, topic, key, data):
+        """Append a record of another writer."""
+        self._logs.setdefault(topic, []).append((key, data))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _serve(self, reader, writer):
         while (message := await read_message(reader)) is not None:
             line, _, body = message
@@ -232,7 +239,13 @@
                 for key, (offset, data) in sorted(newest.items())
                 if data and key > query.get("after", "")
             ]
-            return 200, json.dumps({"items": items, "has_more": False, "end": len(log)}).encode()
+            page = []
+            size = 0
+            while len(page) < min(500, len(items)) and size < PAGE_BYTES:
+                page.append(items[len(page)])
+                size += len(page[-1]["value"])
+            more = len(page) < len(items)
+            return 200, json.dumps({"items": page, "has_more": more, "end": len(log)}).encode()
         start = int(query["from"])
         until_s = time.monotonic() + min(30.0, int(query.get("wait_ms", 0)) / 1000)
         while len(log) <= start and (left_s := until_s - time.monotonic()) > 0:
@@ -243,6 +256,8 @@
                 break
         answer = len(log).to_bytes(8, "big") + (0).to_bytes(8, "big")
         for key, data in log[start:]:
+            if len(answer) > 1024 * int(query.get("max_kb", 1024)):
+                break
             content = bytes([len(key)]) + key.encode() + data
             answer += len(content).to_bytes(4, "big") + content
         return 200, answer
@@ -251,7 +266,7 @@
 class Entry:
     """One entry, a process started by the command of the deploy file."""
 
-    def __init__(self, *, name, host, zone, store, folder, peer_port, bounds):
+    def __init__(self, *, name, host, zone, store, folder, peer_port, bounds, memory_mb=300):
         self.name = name
         self.host = host
         self.front_port = free_port(host)
@@ -267,6 +282,7 @@
                 front_port=self.front_port,
                 ready_port=self.ready_port,
                 peer_port=peer_port,
+                memory_mb=memory_mb,
                 last_peer_port=peer_port + 15,
                 bounds="".join(f"{key} = {value}\n" for key, value in (COMMON | bounds).items()),
             )
