--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -9,6 +9,7 @@
 from ._liveness import read_with_liveness_check
 from ._outcomes import AttemptOutcome, Delivery
 from ._progress import Progress
+from ._waiter import stream_patience_s
 from ._wire import WireCodec
 
 # A stream without data for this multiple of its route's event gap triggers a liveness check of the
@@ -57,7 +58,9 @@
         self._has_begun = False
         self._is_resumed = responder.has_begun
         # What comes before the first event of a resumed stream; without an event it is none.
-        self._held: list[bytes] = []
+        self._held = bytearray()
+        # When bytes that are no event came first since the last event.
+        self._without_event_since_s: float | None = None
 
     async def run(
         self, connection: EgressConnection, head: ResponseHead, *, has_timeouts: bool
@@ -71,16 +74,38 @@
 
         Raises:
             TargetUnresponsiveError: If the target sent no data in time.
-            EgressError: If the connection fails, an event's id is out of order, or the response
-                is no continuation of the stream that the caller receives.
-            EventTooLongError: If an event is longer than `MAX_EVENT_BYTES`.
+            EgressError: If the connection fails, an event's id is out of order, the response
+                is no continuation of the stream that the caller receives, or it goes on for longer
+                than callers wait for an event without one.
+            EventTooLongError: If an event, or what comes before it, exceeds a limit of
+                `EventSplitter`.
         """
         self._check_continues(head)
         while data := await self._read(connection, has_timeouts=has_timeouts):
-            for event in self._splitter.feed(data, connection.received_s):
-                await self._forward_event(event, head)
+            await self._forward_events(data, connection, head)
         return await self._finish(head)
 
+    async def _forward_events(
+        self, data: bytes, connection: EgressConnection, head: ResponseHead
+    ) -> None:
+        """Forward the blocks that are complete with more data."""
+        events = self._splitter.feed(data, connection.received_s)
+        for event in events:
+            await self._forward_event(event, head)
+        has_progress = any(event.is_progress for event in events)
+        self._check_time_without_event(connection.received_s, has_progress=has_progress)
+
+    def _check_time_without_event(self, now_s: float, *, has_progress: bool) -> None:
+        """Check for how long the target has sent bytes that are no event; silence does not count."""
+        if has_progress:
+            self._without_event_since_s = None
+            return
+        if self._without_event_since_s is None:
+            self._without_event_since_s = now_s
+        patience_s = stream_patience_s(self._route)
+        if now_s - self._without_event_since_s > patience_s:
+            raise MalformedResponseError(f"the stream has no event for {patience_s:.1f} s")
+
     async def _forward_event(self, event: StreamEvent, head: ResponseHead) -> None:
         if event.is_control:
             await self._forward_control(event, head)
@@ -91,7 +116,7 @@
             self._has_begun = True
             self._on_first_event()
         await self._start_response(head)
-        await self._responder.send(b"".join((*self._held, event.data)))
+        await self._responder.send(bytes(self._held) + event.data)
         self._held.clear()
         if event.event_id:
             self._progress.last_event_id = event.event_id
@@ -100,7 +125,7 @@
 
     async def _forward_control(self, block: StreamEvent, head: ResponseHead) -> None:
         if self._is_resumed and not self._has_begun:
-            self._held.append(block.data)
+            self._held += block.data
             return
         self._on_output()
         await self._start_response(head)
--- /dev/null
+++ b/tests/test_endless_streams.py
@@ -0,0 +1,206 @@
+"""Streams whose targets send bytes without end that are no event."""
+
+import asyncio
+import tracemalloc
+import unittest
+
+from cicadatiller.egress import MalformedResponseError, ResponseHead
+from cicadatiller.gateway._events import EventSplitter, EventTooLongError
+from cicadatiller.gateway._progress import Progress
+from cicadatiller.gateway._stream import StreamRelay
+from cicadatiller.platform import PlatformHeaders
+from cicadatiller.routes import Route, RouteKind, Split
+
+from .support.endless import EndlessSender
+from .support.gateways import GatewayCase
+from .support.streams import NetworkCase
+
+# Blocks that no caller takes for an event, as none has data or a number as its id.
+NO_EVENTS = {
+    "id": b"id\n\n",
+    "id without a number": b"id: x\n\n",
+    "retry": b"retry: 3000\n\n",
+    "long retry": b"retry: 3000" + b" " * 1011 + b"\n\n",
+    "event": b"event: a\n\n",
+    "comment": b":\n\n",
+    "blank": b"\n\n",
+    "blank with returns": b"\n\r\n",
+    "unknown": b"gibberish\n\n",
+}
+EVENT_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+PART_BYTES = 4096
+ROUTE = Route(
+    name="r-stream",
+    host="n",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    splits=(Split(service="engines"),),
+    timeout_s=60.0,
+    target_latency_s=0.3,
+    max_gap_s=0.25,
+)
+# What one entry may hold more while twelve such streams are read.
+MAX_GROWTH_BYTES = 8 * 1024 * 1024
+MAX_TAKEN_BYTES = 512 * 1024
+
+
+def chunk(data):
+    """Return a chunk of a body."""
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+def fill(block, size=PART_BYTES):
+    """Return a chunk of a size that consists of one block again and again."""
+    return chunk(block * max(1, size // len(block)))
+
+
+class EndlessStreamTest(GatewayCase):
+    def replace_target(self, fleet, number, first, part, **options):
+        fleet.targets[f"t-{number}"].stop()
+        server = EndlessSender(first, part, **options)
+        fleet.network.listen(f"10.0.1.{number}", 80, server.accept)
+        return server
+
+    def test_a_resumed_stream_without_an_event_is_not_held_without_end(self):
+        """review/6: what came before the first event of a resumed stream had no limit."""
+        for name, block in NO_EVENTS.items():
+            with self.subTest(name):
+
+                async def scenario(fleet, block=block):
+                    first, second = fleet.targets.values()
+                    for target in (first, second):
+                        target.script = lambda headers, number: 2
+                    server = self.replace_target(fleet, 2, EVENT_HEAD, fill(block))
+                    tracemalloc.start()
+                    try:
+                        replies = await fleet.ask_many(12, "stream", deadline_ms=9000)
+                        return replies, server, tracemalloc.get_traced_memory()[1]
+                    finally:
+                        tracemalloc.stop()
+
+                replies, server, peak_bytes = self.run_scenario(scenario, targets=("engines",) * 2)
+                self.assertLess(peak_bytes, MAX_GROWTH_BYTES)
+                self.assertLess(server.sent_bytes, 12 * MAX_TAKEN_BYTES)
+                self.assertEqual(server.open_connections, 0)
+                self.assertFalse(any(reply.whole and reply.status == 200 for reply in replies))
+                self.assertLess(max(reply.taken_s for reply in replies), 3.0)
+
+    def test_a_stream_without_an_event_after_sound_ones_ends(self):
+        """review/7: blocks of a known field counted as events, so that they had no limit."""
+        for name, block in NO_EVENTS.items():
+            with self.subTest(name):
+
+                async def scenario(fleet, block=block):
+                    first = EVENT_HEAD + chunk(b"id: 1\ndata: 1\n\n")
+                    server = self.replace_target(fleet, 1, first, fill(block))
+                    replies = await fleet.ask_many(4, "stream", deadline_ms=9000)
+                    return replies, server
+
+                replies, server = self.run_scenario(scenario, targets=("engines",))
+                self.assertLess(server.sent_bytes, 8 * MAX_TAKEN_BYTES)
+                self.assertEqual(server.open_connections, 0)
+                self.assertLess(max(reply.taken_s for reply in replies), 3.0)
+
+    def test_a_stream_whose_blocks_come_slowly_ends_once_callers_wait_no_longer(self):
+        """A target that sent a comment now and then kept its place until the deadline."""
+
+        async def scenario(fleet):
+            first = EVENT_HEAD + chunk(b"id: 1\ndata: 1\n\n")
+            server = self.replace_target(fleet, 1, first, chunk(b":\n\n"), interval_s=0.3)
+            reply = await fleet.ask("stream", deadline_ms=60_000)
+            await asyncio.sleep(0.1)
+            return reply, server
+
+        reply, server = self.run_scenario(scenario, targets=("engines",))
+        self.assertEqual(reply.events, [1])
+        self.assertFalse(reply.whole)
+        self.assertLess(reply.taken_s, 4.0)
+        self.assertEqual(server.open_connections, 0)
+
+    def test_silence_before_a_partial_event_does_not_end_a_stream(self):
+        """A target may be silent for longer than callers wait; only bytes that are no event count."""
+        target = _Source([(b"id: 1\ndata: 1\n\n", 0.0), (b"id: 2\nda", 9.0), (b"ta: 2\n\n", 0.1)])
+
+        async def scenario():
+            outcome, responder = await relay(target)
+            return outcome.delivery.value, b"".join(responder.sent)
+
+        self.assertEqual(
+            NetworkCase.run_paused(self, scenario()),
+            ("done", b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"),
+        )
+
+
+class SplitterLimitTest(unittest.TestCase):
+    def test_blocks_without_an_event_are_limited_by_number_and_bytes(self):
+        for name, block in NO_EVENTS.items():
+            with self.subTest(name):
+                splitter = EventSplitter()
+                splitter.feed(b"id: 1\ndata: 1\n\n")
+                taken_bytes = 0
+                with self.assertRaises(EventTooLongError):
+                    while taken_bytes < MAX_TAKEN_BYTES:
+                        splitter.feed(block)
+                        taken_bytes += len(block)
+
+
+class _Source:
+    """A connection whose parts are there at once, or after a time without data."""
+
+    def __init__(self, parts):
+        self._parts = list(parts)
+        self.received_s = 0.0
+
+    @property
+    def is_readable(self):
+        return not self._parts or not self._parts[0][1]
+
+    async def read_body(self):
+        if not self._parts:
+            return b""
+        data, silence_s = self._parts.pop(0)
+        if silence_s:
+            await asyncio.sleep(silence_s)
+        self.received_s = asyncio.get_running_loop().time()
+        return data
+
+
+class _Responder:
+    """Counts what is sent in each turn."""
+
+    def __init__(self, counted):
+        self.has_begun = False
+        self.sent = []
+        self._counted = counted
+
+    async def start_stream(self, status, headers):
+        self.has_begun = True
+
+    async def send(self, data):
+        self.sent.append(data)
+        if self._counted:
+            self._counted[-1] += 1
+
+    async def finish(self):
+        pass
+
+
+async def relay(source, *, counted=None):
+    """Forward all that a connection has; return the outcome, or the error, and the responder."""
+    responder = _Responder(counted)
+    relayed = StreamRelay(
+        codec=PlatformHeaders(),
+        route=ROUTE,
+        progress=Progress(),
+        responder=responder,
+        on_output=lambda: None,
+        on_first_event=lambda: None,
+        is_alive=lambda: asyncio.sleep(0, True),
+    )
+    head = ResponseHead(status=200, headers=(), has_length=True)
+    try:
+        return await relayed.run(source, head, has_timeouts=False), responder
+    except (MalformedResponseError, EventTooLongError) as error:
+        return error, responder
