--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -19,9 +19,10 @@
 from ._response import ResponseHead, build_head
 from ._response_limits import ResponseLimits
 
-READ_HIGH_WATER_BYTES = 32 * 1024
-# asyncio would read up to 256 KiB at once, beyond the high-water mark.
-READ_BYTES = 32 * 1024
+READ_HIGH_WATER_BYTES = 16 * 1024
+# asyncio would read up to 256 KiB at once, beyond the high-water mark. Of a body in chunks of some
+# bytes each one costs a call, and nothing else runs until a read is parsed.
+READ_BYTES = 8 * 1024
 # Bounds the events of one part, which take more memory than their bytes.
 MAX_PART_BYTES = 4 * 1024
 BODY_TIMEOUT_S = 5.0
--- a/src/cicadatiller/gateway/_events.py
+++ b/src/cicadatiller/gateway/_events.py
@@ -9,6 +9,8 @@
 MAX_EVENT_BYTES = 64 * 1024
 # Of what is no event, between two events; each block costs processor time, however short it is.
 MAX_BLOCKS_WITHOUT_EVENT = 1024
+# Blocks that are returned at once.
+MAX_TURN_BLOCKS = 32
 # An event is sent at once, so one of which single bytes arrive for so long has no end.
 EVENT_TIMEOUT_S = 3.0
 
@@ -42,7 +44,7 @@
 
 
 class EventSplitter:
-    """Buffers the bytes of a stream and returns them as complete blocks."""
+    """Buffers the bytes of a stream and returns them as complete blocks, a few at a time."""
 
     def __init__(self) -> None:
         self._buffer = bytearray()
@@ -51,6 +53,12 @@
         self._partial_since_s: float | None = None
         self._bytes_without_event = 0
         self._blocks_without_event = 0
+        self._is_behind = False
+
+    @property
+    def is_behind(self) -> bool:
+        """Return whether the buffer may hold complete blocks that were not returned yet."""
+        return self._is_behind
 
     @property
     def has_partial_event(self) -> bool:
@@ -58,10 +66,10 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes, now_s: float = 0.0) -> list[StreamEvent]:
-        """Add bytes and return the blocks that they complete.
+        """Add bytes and return the next blocks that are complete, `MAX_TURN_BLOCKS` at most.
 
         Args:
-            data: The bytes.
+            data: The bytes; empty to get further blocks while `is_behind`.
             now_s: The loop time.
 
         Raises:
@@ -72,13 +80,15 @@
         """
         self._buffer += data
         events: list[StreamEvent] = []
-        while (end := self._find_end()) >= 0:
+        while len(events) < MAX_TURN_BLOCKS and (end := self._find_end()) >= 0:
             events.append(self._parse(bytes(self._buffer[:end])))
             del self._buffer[:end]
             self._searched_bytes = 0
             self._partial_since_s = None
-        self._searched_bytes = len(self._buffer)
-        self._check_partial_event(now_s)
+        self._is_behind = len(events) == MAX_TURN_BLOCKS
+        if not self._is_behind:
+            self._searched_bytes = len(self._buffer)
+            self._check_partial_event(now_s)
         self._check_without_event()
         return events
 
@@ -109,7 +119,8 @@
         self._blocks_without_event += 1
 
     def _check_without_event(self) -> None:
-        if self._bytes_without_event + len(self._buffer) > MAX_EVENT_BYTES:
+        partial_bytes = 0 if self._is_behind else len(self._buffer)
+        if self._bytes_without_event + partial_bytes > MAX_EVENT_BYTES:
             raise EventTooLongError(f"stream event exceeds the limit of {MAX_EVENT_BYTES} bytes")
         if self._blocks_without_event > MAX_BLOCKS_WITHOUT_EVENT:
             raise EventTooLongError(f"{MAX_BLOCKS_WITHOUT_EVENT} blocks of a stream are no event")
--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -1,5 +1,6 @@
 """Forwards the events of a target's stream to the caller."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from ..egress import EgressConnection, MalformedResponseError, ResponseHead
@@ -19,6 +20,8 @@
 # The attempt fails after this multiple of the gap. Callers disconnect after about eight gaps.
 TIMEOUT_GAPS = 6.0
 MIN_TIMEOUT_S = 1.5
+# Between two turns of a stream whose target has sent more blocks than one turn forwards.
+TURN_PAUSE_S = 0.01
 
 
 class StreamRelay:
@@ -82,13 +85,19 @@
         """
         self._check_continues(head)
         while data := await self._read(connection, has_timeouts=has_timeouts):
-            await self._forward_events(data, connection, head)
+            await self._forward_turn(data, connection, head)
+            while self._splitter.is_behind:
+                await asyncio.sleep(TURN_PAUSE_S)
+                await self._forward_turn(b"", connection, head)
+            if connection.is_readable:
+                # Else a target that sends fast would keep this task from waiting.
+                await asyncio.sleep(0.0)
         return await self._finish(head)
 
-    async def _forward_events(
+    async def _forward_turn(
         self, data: bytes, connection: EgressConnection, head: ResponseHead
     ) -> None:
-        """Forward the blocks that are complete with more data."""
+        """Forward some of the blocks that are complete with more data."""
         events = self._splitter.feed(data, connection.received_s)
         for event in events:
             await self._forward_event(event, head)
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -5,7 +5,7 @@
 import unittest
 
 from cicadatiller.egress import MalformedResponseError, ResponseHead
-from cicadatiller.gateway._events import EventSplitter, EventTooLongError
+from cicadatiller.gateway._events import MAX_TURN_BLOCKS, EventSplitter, EventTooLongError
 from cicadatiller.gateway._progress import Progress
 from cicadatiller.gateway._stream import StreamRelay
 from cicadatiller.platform import PlatformHeaders
@@ -133,7 +133,46 @@
         )
 
 
+class TurnTest(unittest.IsolatedAsyncioTestCase):
+    """What a relay does before other tasks get their turn."""
+
+    async def test_a_relay_forwards_some_blocks_in_a_turn_however_fast_they_come(self):
+        """review/7: thousands of blocks were forwarded before another request got its turn."""
+        sound = b"id: 1\ndata: 1\n\n"
+        blocks = {
+            "data": b"data\n\n" * 4096,
+            "numbered": b"".join(b"id: %d\n\n" % number for number in range(1, 4096)),
+            "after sound events": sound + b"data:x\n\n" * 4096,
+            "no events": sound + b"id\n\n" * 600,
+        }
+        for name, data in blocks.items():
+            with self.subTest(name):
+                parts = [data[at : at + PART_BYTES] for at in range(0, len(data), PART_BYTES)]
+                counted = [0]
+                ticker = asyncio.create_task(self._count_turns(counted))
+                await relay(_Source([(part, 0.0) for part in parts]), counted=counted)
+                ticker.cancel()
+                self.assertLessEqual(max(counted), MAX_TURN_BLOCKS + 1)
+
+    async def _count_turns(self, counted):
+        while True:
+            counted.append(0)
+            await asyncio.sleep(0)
+
+
 class SplitterLimitTest(unittest.TestCase):
+    def test_all_blocks_are_returned_a_few_at_a_time(self):
+        data = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(500))
+        splitter = EventSplitter()
+        events = splitter.feed(data)
+        self.assertEqual(len(events), MAX_TURN_BLOCKS)
+        while splitter.is_behind:
+            more = splitter.feed(b"")
+            self.assertLessEqual(len(more), MAX_TURN_BLOCKS)
+            events += more
+        self.assertEqual(b"".join(event.data for event in events), data)
+        self.assertFalse(splitter.has_partial_event)
+
     def test_blocks_without_an_event_are_limited_by_number_and_bytes(self):
         for name, block in NO_EVENTS.items():
             with self.subTest(name):
