--- a/src/cicadatiller/evidence/_exchange.py
+++ b/src/cicadatiller/evidence/_exchange.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
-from ..fleet import WEIGHING_DELAY_S, FingerprintBreakers, OpenBreaker, RequestLoss
+from ..fleet import WEIGHING_DELAY_S, FingerprintBreakers, OpenBreaker, RequestLoss, rule_of
 from ..kernel import Event, log_event
 from ..mesh import ClearedFingerprint, Evidence, LostRequest, TrippedBreaker, find_problem
 
@@ -15,6 +16,9 @@
 MAX_SNAPSHOT_LOSSES = 64
 # Of each kind, of what finished lately: an entry that starts would take it for a suspect.
 MAX_SNAPSHOT_CLEARED = 64
+# How often the peers are told that a part finished of which requests are lost.
+TELL_FINISHED_INTERVAL_S = 10.0
+MAX_TOLD = 1024
 
 
 class EvidenceExchange:
@@ -26,11 +30,13 @@
 
     Attributes:
         breakers: The breakers.
+        on_changed: Called whenever this entry learns of a loss or a breaker, or that one is sound.
     """
 
     def __init__(self, *, on_pending: Callable[[], None], on_opened: Callable[[], None]) -> None:
         self._loop = asyncio.get_running_loop()
         self.breakers = FingerprintBreakers(listener=self, started_s=self._loop.time())
+        self.on_changed: Callable[[], None] = lambda: None
         self._on_pending = on_pending
         self._on_opened = on_opened
         # The peers whose evidence was refused since their links came up.
@@ -39,14 +45,32 @@
         self._losses: list[RequestLoss] = []
         self._opened: list[OpenBreaker] = []
         self._cleared: list[tuple[str, float]] = []
+        # When the peers were told that a part finished, the latest at the end.
+        self._told_s: OrderedDict[str, float] = OrderedDict()
 
     def request_lost(self, loss: RequestLoss) -> None:
         """Announce a loss."""
         self._losses.append(loss)
-        self._on_pending()
+        self._tell_finished(loss)
+        self._announce()
         if self._weighing is None:
             self._weighing = self._loop.call_later(WEIGHING_DELAY_S, self._weigh)
 
+    def _tell_finished(self, loss: RequestLoss) -> None:
+        """Tell the peers which parts of a lost prompt this entry saw finish.
+
+        One of them stores what all know, and the entries that start from that have seen nothing.
+        """
+        now_s = self._loop.time()
+        for part, finished_s in self.breakers.parts_finished_lately(loss.fingerprints, now_s):
+            if now_s - self._told_s.get(part, float("-inf")) < TELL_FINISHED_INTERVAL_S:
+                continue
+            self._told_s[part] = now_s
+            self._told_s.move_to_end(part)
+            if len(self._told_s) > MAX_TOLD:
+                self._told_s.popitem(last=False)
+            self._cleared.append((part, finished_s))
+
     def _weigh(self) -> None:
         self._weighing = None
         self.breakers.weigh(self._loop.time())
@@ -54,7 +78,7 @@
     def breaker_opened(self, opened: OpenBreaker) -> None:
         """Announce a breaker that opens at its time, or whose probe was put off."""
         self._opened.append(opened)
-        self._on_pending()
+        self._announce()
         # The probe may be among the waiting requests.
         if not opened.was_probed:
             self._loop.call_at(opened.opens_s, self._end_objections, opened)
@@ -77,7 +101,11 @@
         """Announce that a request with a fingerprint finished."""
         log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint)
         self._cleared.append((fingerprint, cleared_s))
+        self._announce()
+
+    def _announce(self) -> None:
         self._on_pending()
+        self.on_changed()
 
     def take_pending(self) -> Evidence:
         """Return what has to be sent to the peers, and forget it."""
@@ -100,6 +128,19 @@
             cleared=_to_cleared(self.breakers.cleared_parts(now_s, MAX_SNAPSHOT_CLEARED), now_s),
         )
 
+    def lasting(self) -> Evidence:
+        """Return what an entry has to know that starts when none is left; empty if nothing counts."""
+        now_s = self._loop.time()
+        opened = [known for known in self.breakers.open_breakers if now_s < known.forgotten_at_s]
+        losses = [loss for loss in self.breakers.losses if _counts(loss, now_s)]
+        if not opened and not losses:
+            return Evidence()
+        return Evidence(
+            losses=tuple(_to_lost(loss, now_s) for loss in losses[-MAX_SNAPSHOT_LOSSES:]),
+            opened=tuple(_to_tripped(known, now_s) for known in opened),
+            cleared=_to_cleared(self.breakers.cleared_parts(now_s, MAX_SNAPSHOT_CLEARED), now_s),
+        )
+
     def apply(self, peer: str, evidence: Evidence) -> None:
         """Apply what a peer sent, all of it or nothing; breakers come first, as they explain losses."""
         problem = find_problem(evidence)
@@ -124,6 +165,11 @@
             log_event(Event.EVIDENCE_REFUSED, peer=peer, reason=problem)
 
 
+def _counts(loss: RequestLoss, now_s: float) -> bool:
+    """Return whether a loss may still count against one of its fingerprints."""
+    return any(now_s - loss.lost_s <= rule_of(name).max_age_s for name in loss.fingerprints)
+
+
 def _to_cleared(
     cleared: Iterable[tuple[str, float]], now_s: float
 ) -> tuple[ClearedFingerprint, ...]:
--- a/src/cicadatiller/fleet/_fingerprint_breakers.py
+++ b/src/cicadatiller/fleet/_fingerprint_breakers.py
@@ -166,6 +166,16 @@
             cleared.extend(lately[:limit])
         return tuple(cleared)
 
+    def parts_finished_lately(
+        self, fingerprints: Iterable[str], now_s: float
+    ) -> tuple[tuple[str, float], ...]:
+        """Return which of some parts of prompts finished lately, with the loop times."""
+        return tuple(
+            (name, self._cleared_at_s(name))
+            for name in fingerprints
+            if is_part(name) and self._has_finished_lately(name, now_s)
+        )
+
     def find_open(self, fingerprints: Iterable[str], now_s: float) -> OpenBreaker | None:
         """Return the first open breaker of a request's fingerprints; None if there is none."""
         if not self._open:
--- a/src/cicadatiller/fleet/_store.py
+++ b/src/cicadatiller/fleet/_store.py
@@ -31,6 +31,7 @@
     CONFIGURATION = "configuration"
     TARGETS = "targets"
     MEMBERS = "members"
+    EVIDENCE = "evidence"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
--- a/src/cicadatiller/gateway/_peer_sync.py
+++ b/src/cicadatiller/gateway/_peer_sync.py
@@ -72,6 +72,7 @@
         on_peer_given_up: Callable[[str], None] = lambda name: None,
         on_peer_cold: Callable[[str, Target, float], None] = lambda peer, target, remaining_s: None,
         cold_targets: Callable[[], Iterable[Target]] = tuple,
+        on_peer_lost: Callable[[], None] = lambda: None,
     ) -> None:
         self._board = board
         self._directory = directory
@@ -79,6 +80,7 @@
         self._followers = followers
         self._on_change = on_change
         self._on_peer_given_up = on_peer_given_up
+        self._on_peer_lost = on_peer_lost
         self._loop = asyncio.get_running_loop()
         self._greeting = greeting
         self._unheard_since_s: dict[str, float] = {}
@@ -265,6 +267,7 @@
         self._budget.end_run(name, self._loop.time())
         self._catch_up.forget_peer(name)
         self.evidence.forget_peer(name)
+        self._on_peer_lost()
         self._budget.connected_entries = 1 + len(self.mesh.connected_peers)
         self._on_change()
 
--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -11,6 +11,7 @@
 from ..cold_start import ColdTargets
 from ..egress import ConnectionPool
 from ..evacuation import count_requests
+from ..evidence import StoredEvidence
 from ..fleet import KeyedLog, TargetDirectory, TargetSubset, Topic
 from ..ingress import IngressServer
 from ..kernel import Event, StallWatch, TaskSet, log_event, new_incarnation, read_build
@@ -138,6 +139,7 @@
             tasks=self._tasks,
         )
         self._membership = self._make_membership(log)
+        self._stored_evidence = self._make_stored_evidence(log)
         self._cold_targets = self._make_cold_targets()
         self._redialer = Redialer(directory=self._directory, pool=pool, tasks=self._tasks)
         self._failures = TargetFailures(
@@ -182,6 +184,7 @@
         )
         for topic, follower in self._topics.followers.items():
             self._tasks.keep_running(follower.run, name=f"follow {topic.value}")
+        self._tasks.keep_running(self._stored_evidence.run, name="evidence")
         self._tasks.start(self._start_mesh(), name="start mesh")
         self._tasks.keep_running(self._membership.run, name="membership")
         self._tasks.keep_running(self._redialer.run, name="reviver")
@@ -282,6 +285,7 @@
             on_peer_given_up=self._remove_member,
             on_peer_cold=lambda *stated: self._cold_targets.apply_peer(*stated),
             cold_targets=lambda: self._cold_targets.cold(),
+            on_peer_lost=lambda: self._stored_evidence.renew(),
         )
 
     def _make_cold_targets(self) -> ColdTargets:
@@ -304,6 +308,16 @@
             connected_peers=lambda: self.peer_sync.mesh.connected_peers,
         )
 
+    def _make_stored_evidence(self, log: KeyedLog) -> StoredEvidence:
+        stored = StoredEvidence(
+            log=log,
+            exchange=self.peer_sync.evidence,
+            name=self._node.name,
+            connected_peers=lambda: self.peer_sync.mesh.connected_peers,
+        )
+        self._topics.era.add_listener(stored.renew)
+        return stored
+
     def _make_notices(self, codec: WireCodec) -> TargetNotices:
         return TargetNotices(
             codec=codec,
--- a/src/cicadatiller/gateway/_store_era.py
+++ b/src/cicadatiller/gateway/_store_era.py
@@ -48,12 +48,13 @@
         """Read all records again if those that are known are of an earlier era."""
 
 
-def share_era(readers: Iterable[EraReader]) -> None:
-    """Let the readers of one store share its era."""
+def share_era(readers: Iterable[EraReader]) -> StoreEra:
+    """Let the readers of one store share its era, and return it."""
     era = StoreEra()
     for reader in readers:
         reader.era = era
         era.add_listener(reader.era_risen)
+    return era
 
 
 def store_gauges(readers: Mapping[Topic, EraReader]) -> dict[str, float]:
--- a/src/cicadatiller/gateway/_topics.py
+++ b/src/cicadatiller/gateway/_topics.py
@@ -47,6 +47,7 @@
         configuration: The current configuration.
         evacuations: The evacuated data centres.
         members: The registered entries.
+        era: The store's era.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
             Topic.TARGETS: self._follow_targets(targets, on_read),
             Topic.MEMBERS: self._follow_members(),
         }
-        share_era(self.followers.values())
+        self.era = share_era(self.followers.values())
         self.set_bounds(bounds)
 
     @property
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -60,6 +60,7 @@
     )
     TARGET_PACE = (405, "info", "A target's slowdown factor against its model changed.")
     TARGET_QUIET = (407, "info", "A target wants no requests from this entry for some time.")
+    EVIDENCE_READ = (417, "info", "What the store holds of what crashes targets was read.")
     FINGERPRINT_REFUSED = (
         412,
         "warning",
--- a/src/cicadatiller/platform/_log.py
+++ b/src/cicadatiller/platform/_log.py
@@ -28,6 +28,7 @@
     Topic.CONFIGURATION: "keyed.op",
     Topic.TARGETS: "keyed.servers",
     Topic.MEMBERS: "keyed.status",
+    Topic.EVIDENCE: "keyed.evidence",
 }
 # Keyed topics have one partition.
 PARTITION = 0
