--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -12,12 +12,18 @@
 from ..kernel import StrayAction, StrayResponse, log_stray
 from ._buffers import BufferBudget, BufferHold
 from ._discard_timeout import DiscardPolicy, DiscardTimeout
-from ._errors import ConnectionLostError, EgressError, MalformedResponseError
+from ._errors import (
+    ConnectionLostError,
+    EgressError,
+    MalformedResponseError,
+    describe_parse_failure,
+)
 from ._inner_head import InnerHeadSearch
 from ._matcher import ExchangeHistory, ResponseMatch, ResponseMatcher
 from ._request_writer import RequestWriter
 from ._response import ResponseHead, build_head
 from ._response_limits import ResponseLimits
+from ._unsent import UnsentWatch
 
 READ_HIGH_WATER_BYTES = 16 * 1024
 # asyncio would read up to 256 KiB at once, beyond the high-water mark. Of a body in chunks of some
@@ -98,6 +104,7 @@
         self._has_head = False
         self._reads_until_close = False
         self._writer: RequestWriter | None = None
+        self._unsent: UnsentWatch | None = None
         self._matcher: ResponseMatcher | None = None
         self._on_stray = on_stray
         self._has_strays = False
@@ -112,6 +119,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._writer = RequestWriter(transport=transport)
+        self._unsent = UnsentWatch(transport=transport, writer=self._writer)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
@@ -139,16 +147,23 @@
             if self._is_complete:
                 self._handle_surplus(data)
             else:
-                self._fail(self._error_of(_parse_failure(error)))
+                self._fail(self._error_of(describe_parse_failure(error)))
         except MalformedResponseError as error:
             self._fail(self._error_of(str(error)))
 
     def eof_received(self) -> bool:
-        """Complete a response that is delimited by the end of the connection."""
+        """Complete a response that ends with the connection; stay open until the request is sent."""
         is_pending = not self._is_complete and self._error is None
-        if self._reads_until_close and is_pending:
+        if not self._reads_until_close or not is_pending:
+            return False
+        if self._unsent is None or not self._unsent.is_unsent:
             self._complete(may_reuse=False)
-        return False
+            return False
+        self._unsent.start(
+            on_sent=lambda: self._complete(may_reuse=False),
+            on_failed=lambda reason: self._fail(self._error_of(reason)),
+        )
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail a pending exchange."""
@@ -355,6 +370,8 @@
         self.is_open = False
         if self._writer is not None:
             self._writer.drop()
+        if self._unsent is not None:
+            self._unsent.cancel()
         if self._transport is not None:
             self._transport.abort()
 
@@ -478,11 +495,3 @@
         if self._transport is None:
             raise ConnectionLostError(f"connection to {self.address} is not open")
         return self._transport
-
-
-def _parse_failure(error: Exception) -> str:
-    """Return why a response could not be parsed."""
-    # httptools replaces an exception of a callback by its own, of which it is the context.
-    if isinstance(error.__context__, MalformedResponseError):
-        return str(error.__context__)
-    return f"cannot parse the response: {error}"
--- a/src/cicadatiller/egress/_request_writer.py
+++ b/src/cicadatiller/egress/_request_writer.py
@@ -24,6 +24,11 @@
         self._unsent = NOTHING
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether the transport was not given all of the request."""
+        return bool(self._unsent)
+
     def write(self, request: bytes, body: bytes) -> None:
         """Write a request with its body."""
         if len(body) <= WRITE_PART_BYTES:
