--- a/src/cicadatiller/egress/_unsent.py
+++ b/src/cicadatiller/egress/_unsent.py
@@ -1,13 +1,9 @@
 """Waits for the end of a request whose response has already ended with the connection."""
 
 import asyncio
-import contextlib
-import fcntl
-import socket
-import struct
-import termios
 from collections.abc import Callable
 
+from ..kernel import is_reset, unacknowledged_bytes
 from ._request_writer import RequestWriter
 
 CHECK_INTERVAL_S = 0.02
@@ -38,7 +34,8 @@
         """Return whether a part of the request has not reached the server's machine."""
         if self._writer.has_unsent or self._transport.get_write_buffer_size():
             return True
-        return _unacknowledged_bytes(self._transport) > 0
+        sock = self._transport.get_extra_info("socket")
+        return sock is not None and unacknowledged_bytes(sock) > 0
 
     def start(self, *, on_sent: Callable[[], None], on_failed: Callable[[str], None]) -> None:
         """Call `on_sent` once all is sent.
@@ -58,7 +55,8 @@
     def _check(
         self, until_s: float, on_sent: Callable[[], None], on_failed: Callable[[str], None]
     ) -> None:
-        if _is_reset(self._transport):
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and is_reset(sock):
             on_failed("the connection was reset after the response, before the request's end")
         elif not self.is_unsent:
             on_sent()
@@ -68,20 +66,3 @@
             self._timer = self._loop.call_later(
                 CHECK_INTERVAL_S, self._check, until_s, on_sent, on_failed
             )
-
-
-def _is_reset(transport: asyncio.Transport) -> bool:
-    """Return whether a connection was reset; nothing else tells if nothing is written or read."""
-    sock = transport.get_extra_info("socket")
-    return sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-
-
-def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes in the kernel's send queue; 0 if it does not tell."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return 0
-    with contextlib.suppress(OSError):
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-        return int(struct.unpack("i", answer)[0])
-    return 0
--- a/src/cicadatiller/http_client/_exchange.py
+++ b/src/cicadatiller/http_client/_exchange.py
@@ -26,6 +26,7 @@
     def __init__(self, *, limits: ResponseLimits | None) -> None:
         self.surplus = b""
         self._limits = limits
+        self._is_request_cut = False
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
         self._is_aborted = False
@@ -56,9 +57,21 @@
     def make_response(self, sock: socket.socket, *args: Any, **options: Any) -> WholeResponse:
         """Return the response that is read from the socket."""
         return WholeResponse(
-            sock, *args, limits=self._limits, on_surplus=self._record_surplus, **options
+            sock,
+            *args,
+            limits=self._limits,
+            on_surplus=self._record_surplus,
+            is_request_cut=lambda: self._is_request_cut,
+            **options,
         )
 
+    def record_cut_request(self) -> None:
+        """Record that the connection broke while the request was sent.
+
+        A response that has arrived before is read nevertheless.
+        """
+        self._is_request_cut = True
+
     def _record_surplus(self, received: bytes) -> None:
         self.surplus = received
 
@@ -72,5 +85,15 @@
         connect()
         exchange.attach(connection.sock)
 
+    request = connection.request
+
+    def send_request(*args: Any, **arguments: Any) -> None:
+        try:
+            request(*args, **arguments)
+        except OSError:
+            exchange.record_cut_request()
+            raise
+
     connection.connect = connect_and_attach
+    connection.request = send_request
     return connection
--- a/src/cicadatiller/http_client/_whole_response.py
+++ b/src/cicadatiller/http_client/_whole_response.py
@@ -13,9 +13,14 @@
 from urllib3.exceptions import HeaderParsingError
 from urllib3.util.response import assert_header_parsing
 
+from ..kernel import is_reset, unacknowledged_bytes
+
 REPORTED_BYTES = 128
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_HEAD_LINE_BYTES = 65_536
+UNSENT_CHECK_INTERVAL_S = 0.02
+# For a server that reads on after its response; one that does not fails the exchange.
+UNSENT_TIMEOUT_S = 5.0
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 STATUS_LINE_END = re.compile(r"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,64}\Z")
 
@@ -44,6 +49,7 @@
         sock: The socket.
         on_surplus: Called with the first bytes that were received beyond the end of the response.
         limits: The limits of the response; None for none.
+        is_request_cut: Returns whether the connection broke while the request was sent.
         *args: The further arguments of `HTTPResponse`.
         **options: Its options.
     """
@@ -54,9 +60,12 @@
         *args: Any,
         on_surplus: Callable[[bytes], None],
         limits: ResponseLimits | None,
+        is_request_cut: Callable[[], bool] = lambda: False,
         **options: Any,
     ) -> None:
         super().__init__(sock, *args, **options)
+        self._socket = sock
+        self._is_request_cut = is_request_cut
         raw = _ReceivedBytes(self.fp.detach(), sock=sock, limits=limits)
         self._reader = _WholeLineReader(raw, on_surplus=on_surplus)
         self.fp = self._reader
@@ -87,6 +96,29 @@
         while self.fp.readline(MAX_HEAD_LINE_BYTES).strip():
             pass
 
+    def _close_conn(self) -> None:
+        """Handle the end of the response, which is that of the connection if it has no length."""
+        if self.length is None and not self.chunked:
+            self._check_request_sent()
+        super()._close_conn()  # type: ignore[misc]
+
+    def _check_request_sent(self) -> None:
+        """Wait until the server's machine has all of the request.
+
+        Until then the server may have broken off, and only closed its sending side so far.
+
+        Raises:
+            IncompleteRead: If the connection is reset, or the request is not read on.
+        """
+        until_s = time.monotonic() + UNSENT_TIMEOUT_S
+        while not self._is_request_cut() and not is_reset(self._socket):
+            if not unacknowledged_bytes(self._socket):
+                return
+            if time.monotonic() >= until_s:
+                break
+            time.sleep(UNSENT_CHECK_INTERVAL_S)
+        raise IncompleteRead(b"")
+
     def close(self) -> None:
         """Close the response, also before its end."""
         self._reader.is_abandoned = True
--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -41,6 +41,7 @@
 from ._prompts import CHARACTERS_PER_TOKEN, PROMPT_BUCKETS, count_prompt_tokens, prompt_bucket
 from ._registry import Registry
 from ._rendezvous import MAX_RENDEZVOUS_WEIGHT, rendezvous_weight
+from ._sockets import is_reset, unacknowledged_bytes
 from ._stall import StallWatch
 from ._states import RequestState
 from ._stray import StrayAction, StrayResponse, log_stray
@@ -84,6 +85,7 @@
     "get_number",
     "get_string",
     "host_and_port",
+    "is_reset",
     "load_json",
     "load_object",
     "map_large_blocks",
@@ -94,4 +96,5 @@
     "prompt_bucket",
     "read_build",
     "rendezvous_weight",
+    "unacknowledged_bytes",
 ]
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,6 +9,8 @@
 
 from cicadatiller.egress import EgressError, ResponseMatcher, TcpKeepalive, _unsent, open_connection
 from cicadatiller.egress import render_request_head as render_head
+from cicadatiller.http_client import HttpClient, HttpUnreachableError
+from cicadatiller.kernel import HttpTimeouts
 
 MATCHER = ResponseMatcher(exchange="request", id_header=b"attempt-id", exchange_id=b"a1")
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n\r\n"
@@ -20,27 +22,16 @@
 END_DELAYS_S = (0.0, 0.05, 0.3)
 
 
-class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """Issue 53 (MIXED): the part of an answer whose connection was reset was given as whole."""
+class EarlyAnswerCase(unittest.IsolatedAsyncioTestCase):
+    """Serves one request on a real socket, as only those are closed on one side."""
 
-    async def send(self, answer, upload=UPLOAD):
-        """Send an upload to a server that answers once it has its head; return the body."""
+    def serve(self, answer):
+        """Answer once a part of a request is read; return the address and the task."""
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         self.addCleanup(listener.close)
-        task = asyncio.create_task(self._serve(listener, answer))
         host, port = listener.getsockname()
-        connection = await open_connection(
-            f"{host}:{port}", timeout_s=5.0, keepalive=TcpKeepalive()
-        )
-        request = render_head(b"POST", b"/x", [(b"Host", b"n")], len(upload))
-        connection.start(request, matcher=MATCHER, body=upload)
-        try:
-            await connection.read_head()
-            return await connection.read_whole_body(1024 * 1024)
-        finally:
-            connection.finish()
-            await task
+        return f"{host}:{port}", asyncio.create_task(self._serve(listener, answer))
 
     async def _serve(self, listener, answer):
         loop = asyncio.get_running_loop()
@@ -50,6 +41,23 @@
             await loop.sock_recv(accepted, 100)
             await answer(loop, accepted)
 
+
+class EarlyAnswerTest(EarlyAnswerCase):
+    """Issue 53 (MIXED): the part of an answer whose connection was reset was given as whole."""
+
+    async def send(self, answer, upload=UPLOAD):
+        """Send an upload to a server that answers once it has its head; return the body."""
+        address, task = self.serve(answer)
+        connection = await open_connection(address, timeout_s=5.0, keepalive=TcpKeepalive())
+        request = render_head(b"POST", b"/x", [(b"Host", b"n")], len(upload))
+        connection.start(request, matcher=MATCHER, body=upload)
+        try:
+            await connection.read_head()
+            return await connection.read_whole_body(1024 * 1024)
+        finally:
+            connection.finish()
+            await task
+
     async def test_a_part_before_a_half_close_and_a_reset_is_not_whole(self):
         for size in PART_SIZES:
             for delay_s in END_DELAYS_S:
@@ -109,3 +117,46 @@
 
         async with asyncio.timeout(0.5):
             self.assertEqual(await self.send(answer, b"short"), b"whole")
+
+
+class HttpClientTest(EarlyAnswerCase):
+    """The same at the own interface, whose client ignores that a request could not be sent."""
+
+    async def post(self, answer, body=UPLOAD):
+        address, task = self.serve(answer)
+        client = HttpClient(url=f"http://{address}", timeouts=HttpTimeouts(), threads=1)
+        try:
+            return (await client.post("/x", body)).body
+        finally:
+            await client.close()
+            await task
+
+    async def test_a_part_before_a_reset_is_not_whole(self):
+        for is_half_closed in (False, True):
+            for delay_s in END_DELAYS_S:
+                with self.subTest(is_half_closed=is_half_closed, delay_s=delay_s):
+
+                    async def answer(
+                        loop, accepted, is_half_closed=is_half_closed, delay_s=delay_s
+                    ):
+                        await loop.sock_sendall(accepted, HEAD + b"part")
+                        if is_half_closed:
+                            accepted.shutdown(socket.SHUT_WR)
+                        await asyncio.sleep(delay_s)
+                        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
+
+                    with self.assertRaises(HttpUnreachableError) as caught:
+                        await self.post(answer)
+                    self.assertTrue(caught.exception.sent)
+
+    async def test_an_answer_is_whole_if_the_rest_of_the_request_is_read(self):
+        for body in (UPLOAD, b"short"):
+            with self.subTest(len(body)):
+
+                async def answer(loop, accepted):
+                    await loop.sock_sendall(accepted, HEAD + b"whole")
+                    accepted.shutdown(socket.SHUT_WR)
+                    while await loop.sock_recv(accepted, MAX_READ_BYTES):
+                        pass
+
+                self.assertEqual(await self.post(answer, body), b"whole")
