--- a/src/cicadatiller/http_client/_whole_response.py
+++ b/src/cicadatiller/http_client/_whole_response.py
@@ -98,7 +98,8 @@
 
     def _close_conn(self) -> None:
         """Handle the end of the response, which is that of the connection if it has no length."""
-        if self.length is None and not self.chunked:
+        has_ended = not self._reader.is_abandoned
+        if has_ended and self.length is None and not self.chunked:
             self._check_request_sent()
         super()._close_conn()  # type: ignore[misc]
 
