Responses: a status below 100 or above 599 is none (MIXED)

Callers saw: 504 at their limit after a target's 000, 001 or 099, which were skipped as interim responses, without another target for a safe request and without a failure of the target; 600 and 999 as answers. At the own interface 0200, +200 and 2_00 counted as 200.

Cause: the parser takes any three digits, http.client any number that Python reads.

Change: both clients take 100 to 599 only; all else fails the response.

--- a/src/cicadatiller/egress/_connection.py
+++ b/src/cicadatiller/egress/_connection.py
@@ -21,7 +21,7 @@
 from ._inner_head import InnerHeadSearch
 from ._matcher import ExchangeHistory, ResponseMatch, ResponseMatcher
 from ._request_writer import RequestWriter
-from ._response import ResponseHead, build_head
+from ._response import ResponseHead, build_head, check_status
 from ._response_limits import ResponseLimits
 from ._unsent import UnsentWatch
 
@@ -198,7 +198,7 @@
     def on_headers_complete(self) -> None:
         """Make the head of a final response available to `read_head`."""
         self._limits.end_head()
-        status = self._parser.get_status_code()
+        status = check_status(self._parser.get_status_code())
         if status < FIRST_FINAL_STATUS:
             return
         self._has_head = True
--- a/src/cicadatiller/egress/_response.py
+++ b/src/cicadatiller/egress/_response.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 
 from ..ingress import Header, find_header
+from ._errors import MalformedResponseError
 
 STATUSES_WITHOUT_BODY = (204, 304)
+STATUSES = range(100, 600)
 HEAD_START = b"HTTP/1."
 STATUS_LINE_END = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,64}\Z")
 
@@ -74,6 +76,17 @@
         return timeout_s
 
 
+def check_status(status: int) -> int:
+    """Return a status.
+
+    Raises:
+        MalformedResponseError: If it is none; the parser takes any number of three digits.
+    """
+    if status not in STATUSES:
+        raise MalformedResponseError(f"{status:03} is no status of a response")
+    return status
+
+
 def build_head(
     status: int, headers: Iterable[Header], *, is_head_request: bool = False
 ) -> ResponseHead:
--- a/src/cicadatiller/http_client/_whole_response.py
+++ b/src/cicadatiller/http_client/_whole_response.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from http.client import HTTPException, HTTPResponse, IncompleteRead
+from http.client import BadStatusLine, HTTPException, HTTPResponse, IncompleteRead
 from typing import Any
 
 from urllib3.exceptions import HeaderParsingError
@@ -22,6 +22,7 @@
 # For a server that reads on after its response; one that does not fails the exchange.
 UNSENT_TIMEOUT_S = 5.0
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] +[1-5]\d\d\s")
 STATUS_LINE_END = re.compile(r"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,64}\Z")
 
 
@@ -86,10 +87,21 @@
                 raise HeaderParsingError([], found.string[found.start() :])
 
     def _read_status(self) -> tuple[str, int, str]:
-        version, status, reason = super()._read_status()  # type: ignore[misc]
+        version, status, reason = self._read_status_line()
         while HTTPStatus.CONTINUE < status < HTTPStatus.OK:
             self._skip_head()
-            version, status, reason = super()._read_status()  # type: ignore[misc]
+            version, status, reason = self._read_status_line()
+        return version, status, reason
+
+    def _read_status_line(self) -> tuple[str, int, str]:
+        """Read a status line; the standard library takes a status for any number up to 999.
+
+        Raises:
+            BadStatusLine: If it has no status.
+        """
+        version, status, reason = super()._read_status()  # type: ignore[misc]
+        if STATUS_LINE.match(self._reader.last_line) is None:
+            raise BadStatusLine(repr(self._reader.last_line[:REPORTED_BYTES]))
         return version, status, reason
 
     def _skip_head(self) -> None:
@@ -172,12 +184,14 @@
         self._received = raw
         self._on_surplus = on_surplus
         self.is_abandoned = False
+        self.last_line = b""
 
     def readline(self, size: int | None = -1, /) -> bytes:
         line = super().readline(size)
         is_limited = size is not None and 0 <= size <= len(line)
         if not line.endswith(b"\n") and not is_limited:
             raise IncompleteRead(line)
+        self.last_line = line
         return line
 
     def close(self) -> None:
