--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -10,6 +10,7 @@
     DiscardPolicy,
     EgressConnection,
     EgressError,
+    MalformedResponseError,
     ResponseHead,
 )
 from ..fleet import Target
@@ -36,6 +37,10 @@
 from ._wire import TargetFields, WireCodec
 
 MAX_RESPONSE_BYTES = 1024 * 1024
+# Of the body of a refusal, or of a failure in place of a stream: some text, which is sent at once.
+# The time leaves room for a sound target's pause.
+MAX_FAILURE_BYTES = 64 * 1024
+FAILURE_BODY_TIMEOUT_S = 1.5
 OK = 200
 FIRST_SERVER_ERROR = 500
 
@@ -331,7 +336,7 @@
     async def _read_refusal(
         self, connection: EgressConnection, head: ResponseHead
     ) -> AttemptOutcome:
-        await connection.read_whole_body(MAX_RESPONSE_BYTES)
+        await self._read_failure_body(connection)
         blamed = self._services.codec.blamed_address(head)
         return AttemptOutcome(
             delivery=Delivery.REFUSED,
@@ -340,11 +345,28 @@
             blamed="" if blamed == self.grant.host.record.address else blamed,
         )
 
+    async def _read_failure_body(self, connection: EgressConnection) -> bytes:
+        """Read a body within limits that leave the caller time for another target's response.
+
+        Raises:
+            EgressError: If it is longer or takes longer, or the connection ends.
+        """
+        try:
+            async with asyncio.timeout(FAILURE_BODY_TIMEOUT_S):
+                return await connection.read_whole_body(MAX_FAILURE_BYTES)
+        except TimeoutError:
+            raise MalformedResponseError(
+                f"the body of a failure is incomplete after {FAILURE_BODY_TIMEOUT_S} s"
+            ) from None
+
     async def _read_answer(
         self, connection: EgressConnection, head: ResponseHead
     ) -> AttemptOutcome:
         codec = self._services.codec
-        body = await connection.read_whole_body(MAX_RESPONSE_BYTES)
+        if self._job.route.kind is RouteKind.STREAM:
+            body = await self._read_failure_body(connection)
+        else:
+            body = await connection.read_whole_body(MAX_RESPONSE_BYTES)
         if self._responder.has_begun:
             reason = f"target answered a resumed stream with status {head.status}"
             return AttemptOutcome(delivery=Delivery.FAILED, reason=reason, status=head.status)
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -56,13 +56,15 @@
     return chunk(block * max(1, size // len(block)))
 
 
-class EndlessStreamTest(GatewayCase):
+class EndlessStreamCase(GatewayCase):
     def replace_target(self, fleet, number, first, part, **options):
         fleet.targets[f"t-{number}"].stop()
         server = EndlessSender(first, part, **options)
         fleet.network.listen(f"10.0.1.{number}", 80, server.accept)
         return server
 
+
+class EndlessStreamTest(EndlessStreamCase):
     def test_a_resumed_stream_without_an_event_is_not_held_without_end(self):
         """review/6: what came before the first event of a resumed stream had no limit."""
         for name, block in NO_EVENTS.items():
@@ -133,6 +135,46 @@
         )
 
 
+class EndlessFailureTest(EndlessStreamCase):
+    """Issue 53 (LOST): callers of a stream heard nothing while a failure's body had no end."""
+
+    def ask(self, head, *, interval_s, targets):
+        async def scenario(fleet):
+            server = self.replace_target(fleet, 1, head, 512 * b"x", interval_s=interval_s)
+            replies = [await fleet.ask("stream", deadline_ms=9000) for _ in range(4)]
+            await asyncio.sleep(0.1)
+            return replies, server
+
+        return self.run_scenario(scenario, targets=targets)
+
+    def test_the_caller_gets_502_soon_and_little_is_read(self):
+        for status in (b"404 X\r\n", b"500 X\r\n", b"503 X\r\nNot-Executed: 1\r\n"):
+            for interval_s in (0.0001, 0.01, 60.0):
+                with self.subTest(status=status, interval_s=interval_s):
+                    replies, server = self.ask(
+                        b"HTTP/1.1 " + status + b"\r\n",
+                        interval_s=interval_s,
+                        targets=("engines",),
+                    )
+                    self.assertEqual(replies[0].status, 502)
+                    self.assertLess(replies[0].taken_s, 2.0)
+                    self.assertLess(server.sent_bytes, len(replies) * MAX_TAKEN_BYTES)
+                    # The entry may await a report.
+                    self.assertLessEqual(server.open_connections, 1)
+
+    def test_another_target_answers_within_the_time_for_which_callers_wait(self):
+        for status in (b"404 X", b"500 X"):
+            with self.subTest(status):
+                replies, _ = self.ask(
+                    b"HTTP/1.1 " + status + b"\r\n\r\n",
+                    interval_s=0.01,
+                    targets=("engines", "engines"),
+                )
+                for reply in replies:
+                    self.assertEqual((reply.status, reply.events), (200, [1, 2, 3, 4, 5]))
+                    self.assertLess(reply.taken_s, 2.2)
+
+
 class TurnTest(unittest.IsolatedAsyncioTestCase):
     """What a relay does before other tasks get their turn."""
 
