Streams: no more events than the output may have tokens; a failure's body may have 1 MiB

Change: of a request that states its output's limit, a stream may have that many events and 256 more.

Also: the size of a failure's body is again that of any answer.

--- a/src/cicadatiller/gateway/_attempt.py
+++ b/src/cicadatiller/gateway/_attempt.py
@@ -37,9 +37,8 @@
 from ._wire import TargetFields, WireCodec
 
 MAX_RESPONSE_BYTES = 1024 * 1024
-# Of the body of a refusal, or of a failure in place of a stream: some text, which is sent at once.
-# The time leaves room for a sound target's pause.
-MAX_FAILURE_BYTES = 64 * 1024
+# The body of a refusal, or of a failure in place of a stream, is sent at once; the time leaves room
+# for a sound target's pause.
 FAILURE_BODY_TIMEOUT_S = 1.5
 OK = 200
 FIRST_SERVER_ERROR = 500
@@ -298,6 +297,7 @@
             on_output=lambda: self._on_output(self),
             on_first_event=lambda: self._record_first_event(connection),
             is_alive=self._is_alive,
+            max_output_tokens=self._job.fields.max_output_tokens,
         )
 
     async def _is_alive(self) -> bool:
@@ -346,14 +346,14 @@
         )
 
     async def _read_failure_body(self, connection: EgressConnection) -> bytes:
-        """Read a body within limits that leave the caller time for another target's response.
+        """Read a body within a time that leaves the caller some for another target's response.
 
         Raises:
-            EgressError: If it is longer or takes longer, or the connection ends.
+            EgressError: If it is too long or takes longer, or the connection ends.
         """
         try:
             async with asyncio.timeout(FAILURE_BODY_TIMEOUT_S):
-                return await connection.read_whole_body(MAX_FAILURE_BYTES)
+                return await connection.read_whole_body(MAX_RESPONSE_BYTES)
         except TimeoutError:
             raise MalformedResponseError(
                 f"the body of a failure is incomplete after {FAILURE_BODY_TIMEOUT_S} s"
--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -20,6 +20,8 @@
 # The attempt fails after this multiple of the gap. Callers disconnect after about eight gaps.
 TIMEOUT_GAPS = 6.0
 MIN_TIMEOUT_S = 1.5
+# Of a stream beyond one for each token of its output: some may have none.
+MAX_EXTRA_EVENTS = 256
 # Between two turns of a stream whose target has sent more blocks than one turn forwards.
 TURN_PAUSE_S = 0.01
 
@@ -37,6 +39,7 @@
         on_output: Called before anything is written to the caller.
         on_first_event: Called at the first event of this attempt.
         is_alive: Runs a liveness check of the target.
+        max_output_tokens: The limit on the output that the caller stated; 0 if it stated none.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         on_output: Callable[[], None],
         on_first_event: Callable[[], None],
         is_alive: Callable[[], Awaitable[bool]],
+        max_output_tokens: int = 0,
     ) -> None:
         self._codec = codec
         self._route = route
@@ -57,6 +61,8 @@
         self._on_output = on_output
         self._on_first_event = on_first_event
         self._is_alive = is_alive
+        self._max_events = max_output_tokens + MAX_EXTRA_EVENTS if max_output_tokens else None
+        self._events = 0
         self._splitter = EventSplitter()
         self._has_begun = False
         self._is_resumed = responder.has_begun
@@ -78,8 +84,9 @@
         Raises:
             TargetUnresponsiveError: If the target sent no data in time.
             EgressError: If the connection fails, an event's id is out of order, the response
-                is no continuation of the stream that the caller receives, or it goes on for longer
-                than callers wait for an event without one.
+                is no continuation of the stream that the caller receives, it goes on for longer
+                than callers wait for an event without one, or has more events than its output
+                may have tokens.
             EventTooLongError: If an event, or what comes before it, exceeds a limit of
                 `EventSplitter`.
         """
@@ -101,8 +108,15 @@
         events = self._splitter.feed(data, connection.received_s)
         for event in events:
             await self._forward_event(event, head)
-        has_progress = any(event.is_progress for event in events)
-        self._check_time_without_event(connection.received_s, has_progress=has_progress)
+        progress = sum(event.is_progress for event in events)
+        self._check_number_of_events(progress)
+        self._check_time_without_event(connection.received_s, has_progress=progress > 0)
+
+    def _check_number_of_events(self, more: int) -> None:
+        """Count events; each has a token at least, so that the caller's limit bounds them."""
+        self._events += more
+        if self._max_events is not None and self._events > self._max_events:
+            raise MalformedResponseError(f"the stream has more than {self._max_events} events")
 
     def _check_time_without_event(self, now_s: float, *, has_progress: bool) -> None:
         """Check for how long the target has sent bytes that are no event; silence does not count."""
