--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -91,6 +91,7 @@
     typer.echo(
         f"seed {schedule.seed}: {len(schedule.faults)} faults, {verdict.served} of "
         f"{verdict.attempts} requests served, longest lag {verdict.longest_lag_s:.2f} s, "
+        f"most memory {verdict.resident_bytes / 2**20:.0f} MB, "
         f"broken: {', '.join(verdict.rules) or 'nothing'}"
     )
     for violation in verdict.violations[:SHOWN_VIOLATIONS]:
--- a/bench/soak/answer_actions.py
+++ b/bench/soak/answer_actions.py
@@ -13,11 +13,11 @@
     DropSignature,
     RepeatAnswers,
 )
-from bench.soak.record import UnnamedTime
+from bench.soak.record import Disturbance, UnnamedTime
 from bench.soak.schedule import Fault, FaultKind
 from bench.soak.system import System
 from bench.soak.target_slots import TargetSlot
-from bench.soak.targets import Manner, WrongRest
+from bench.soak.targets import ENDLESS_BLOCKS, EndlessAnswer, Manner, WrongRest
 
 ERROR_TEXT = b"error: the engine is overloaded\n\n"
 WRONG_RESTS = (
@@ -116,6 +116,23 @@
         await asyncio.sleep(fault.for_s)
 
 
+async def _send_endless(system: System, fault: Fault) -> None:
+    """Let an engine answer streams, or only those that it is to go on with, by blocks without end."""
+    engines = [slot for slot in system.slots if slot.service == "engines"]
+    slots = [engines[fault.subject % len(engines)]]
+    endless = EndlessAnswer(
+        block=ENDLESS_BLOCKS[_choose(fault, len(ENDLESS_BLOCKS))],
+        only_resumed=bool(_choose(fault, 3) == 0),
+    )
+    time = Disturbance(began_s=system.now_s)
+    system.timeline.endless.append(time)
+    # Streams that break off are resumed at any engine.
+    unsound = engines if endless.only_resumed else slots
+    with _unsound(system, unsound), _behaving(unsound, endless=endless):
+        await asyncio.sleep(fault.for_s)
+    time.ended_s = system.now_s
+
+
 async def _answer_wrong_rest(system: System, fault: Fault) -> None:
     """Let an engine break off streams, and all engines answer a resumed one with no rest of it."""
     engines = [slot for slot in system.slots if slot.service == "engines"]
@@ -137,4 +154,5 @@
     FaultKind.TARGET_UNNAMED: _drop_ids,
     FaultKind.TARGET_UNSIGNED: _drop_signatures,
     FaultKind.TARGET_WRONG_REST: _answer_wrong_rest,
+    FaultKind.TARGET_ENDLESS: _send_endless,
 }
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,6 +5,7 @@
 
 from bench.soak.answer_checks import ANSWER_CHECKS, DENIALS, GATEWAY_FAILURES, REFUSALS
 from bench.soak.configuration import COLD_PER_S
+from bench.soak.crowd_checks import CROWD_CHECKS
 from bench.soak.entries import (
     COLD_OVERSHOOT,
     COLD_SLACK,
@@ -371,6 +372,7 @@
     check_ends,
     check_memory,
     check_exits,
+    *CROWD_CHECKS,
     check_recovery,
 )
 
--- a/bench/soak/entries.py
+++ b/bench/soak/entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -27,6 +28,7 @@
 EVACUATE_S = 3.0
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5
+MEMORY_MB = 100
 SETTINGS = """\
 node_name = "front-{number}"
 role = "entry"
@@ -50,6 +52,8 @@
 hold_max_ms = 20000
 free_ms = {free_ms}
 idle_max_ms = 9000
+[limits]
+memory_mb = {memory_mb}
 [platform]
 address = "{store}"
 """
@@ -130,9 +134,20 @@
             retry_ratio=RETRY_RATIO,
             retry_window_s=RETRY_WINDOW_S,
             free_ms=int(FREE_S * 1000),
+            memory_mb=MEMORY_MB,
         )
         self._process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def resident_bytes(self) -> int:
+        """Return the memory of its process; 0 if none runs."""
+        if self._process is None:
+            return 0
+        with contextlib.suppress(OSError, ValueError):
+            pages = Path(f"/proc/{self._process.pid}/statm").read_text().split()
+            return int(pages[1]) * resource.getpagesize()
+        return 0
+
     @property
     def is_running(self) -> bool:
         """Return whether its process runs, suspended or not."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import replace
 
 from bench.soak.answer_actions import ANSWER_ACTIONS
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
@@ -79,6 +80,14 @@
         await entry.wait_until_ready()
 
 
+async def _kill_all_entries(system: System, fault: Fault) -> None:
+    """Kill all entries at the same moment; those that another fault restarts are left to it."""
+    if all(entry.is_running and not entry.is_busy for entry in system.entries):
+        system.timeline.joint_kills.append(system.now_s)
+    kills = (replace(fault, subject=entry.number) for entry in system.entries)
+    await asyncio.gather(*(_kill_entry(system, kill) for kill in kills))
+
+
 async def _freeze_entry(system: System, fault: Fault) -> None:
     entry = system.entries[fault.subject]
     freeze = system.timeline.freeze(entry.number, system.now_s)
@@ -353,6 +362,7 @@
 ACTIONS: dict[FaultKind, Action] = {
     FaultKind.ENTRY_STOP: _stop_entry,
     FaultKind.ENTRY_KILL: _kill_entry,
+    FaultKind.ENTRIES_KILL: _kill_all_entries,
     FaultKind.ENTRY_FREEZE: _freeze_entry,
     FaultKind.ENTRY_RELOAD: _reload_entry,
     FaultKind.ENTRY_BAD_SETTINGS: _reload_bad_settings,
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -1,8 +1,8 @@
 """All that was seen in a run, for the checks."""
 
 from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 from bench.soak.configuration import CONVERGE_S, History, Version
@@ -46,6 +46,7 @@
         timeline: When which part was disturbed.
         history: The versions of the configuration.
         deployment: The deployment.
+        resident_bytes: The most memory that each entry had, by its number.
         faults_ended_s: When the last fault had been carried out.
     """
 
@@ -63,6 +64,7 @@
     timeline: Timeline
     history: History
     deployment: Deployment
+    resident_bytes: Mapping[int, int] = field(default_factory=dict)
     faults_ended_s: float = 0.0
 
     def __post_init__(self) -> None:
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -40,12 +40,14 @@
         attempts: Number of requests sent.
         served: Number of requests answered completely with success.
         longest_lag_s: The longest time for which this process did not run, for the stated slack.
+        resident_bytes: The most memory that an entry had.
     """
 
     violations: tuple[Violation, ...]
     attempts: int
     served: int
     longest_lag_s: float
+    resident_bytes: int = 0
 
     @property
     def rules(self) -> list[str]:
@@ -88,6 +90,7 @@
             raise RuntimeError(f"an entry did not start; see its log in {directory}")
         system.note("load begins")
         background.append(asyncio.ensure_future(system.watch_readiness()))
+        background.append(asyncio.ensure_future(system.watch_memory()))
         load = RecoveryLoad(system=system, faults=schedule.faults, load_s=deployment.load_s)
         await asyncio.gather(callers.run(deployment.callers, load.is_over), load.carry_out())
         seen = await _end(system, callers, schedule, load.faults_ended_s)
@@ -104,6 +107,7 @@
         attempts=len(callers.attempts),
         served=sum(a.is_whole and a.status == 200 for a in callers.attempts),
         longest_lag_s=ended[0] if isinstance(ended[0], float) else 0.0,
+        resident_bytes=max(seen.resident_bytes.values(), default=0),
     )
 
 
@@ -162,6 +166,7 @@
         held_tickets=held,
         exits=[ended for entry in system.entries for ended in entry.exits],
         strays=callers.strays,
+        resident_bytes=system.resident_bytes,
         timeline=system.timeline,
         history=system.history,
         deployment=schedule.deployment,
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -175,6 +175,8 @@
         unnamed: Each time for which a target's answers did not name their requests.
         evacuations: Each evacuation of a data centre.
         cold: Each time for which a target was cold.
+        endless: Each time for which a target sent bytes without end.
+        joint_kills: When all entries were killed at once.
     """
 
     shutdowns: list[Shutdown] = field(default_factory=list)
@@ -185,6 +187,8 @@
     unnamed: list[UnnamedTime] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     cold: list[ColdTime] = field(default_factory=list)
+    endless: list["Disturbance"] = field(default_factory=list)
+    joint_kills: list[float] = field(default_factory=list)
     _entries: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _targets: dict[int, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _store: list[Disturbance] = field(default_factory=list)
--- a/bench/soak/system.py
+++ b/bench/soak/system.py
@@ -22,6 +22,7 @@
 UNUSED_OFFSET = 250
 ENGINE_MEMORY_TOKENS = 100_000
 READINESS_INTERVAL_S = 1.0
+MEMORY_INTERVAL_S = 0.1
 MAX_MISSES = 2
 # The second parts of loopback addresses that runs use; runs at the same time differ in their pid.
 FIRST_NETWORK = 64
@@ -49,6 +50,7 @@
         self.lost_on_links: list[LostOnLink] = []
         self.idle_tickets: list[IdleTicket] = []
         self.unheld_tickets: list[UnheldTicket] = []
+        self.resident_bytes: dict[int, int] = {}
         self.crash_causes = CrashCauses()
         prefix = _address_prefix()
         # No part of the run has this address.
@@ -168,6 +170,14 @@
         self.publish()
         self.note(f"configuration {version}")
 
+    async def watch_memory(self) -> None:
+        """Record the most memory that each entry has."""
+        while True:
+            for entry in self.entries:
+                known_bytes = self.resident_bytes.get(entry.number, 0)
+                self.resident_bytes[entry.number] = max(known_bytes, entry.resident_bytes)
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
     async def watch_readiness(self) -> None:
         """Take entries that are not ready out of the rotation, as a load balancer does."""
         misses = [0] * len(self.entries)
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -13,6 +13,18 @@
 SLOTS = 8
 EVENT_GAP_S = 0.1
 STREAM_EVENTS = 12
+# Blocks of which a stream does not consist if its target is sound.
+ENDLESS_BLOCKS = (
+    b"retry: 3000" + b" " * 1011 + b"\n\n",
+    b"id\n\n",
+    b"retry: 3000\n\n",
+    b": wait\n\n",
+    b"event: a\n\n",
+    b"data\n\n",
+)
+ENDLESS_PART_BYTES = 256 * 1024
+ENDLESS_INTERVAL_S = 0.001
+ENDLESS_BREAKS_AFTER = 1
 REPORT_TARGETS = (b"/report", b"/order")
 
 
@@ -64,6 +76,19 @@
         return Response(status=200, headers=headers, body=self.body)
 
 
+@dataclass(frozen=True, kw_only=True)
+class EndlessAnswer:
+    """An answer to a stream that has no end and no event with a number.
+
+    Attributes:
+        block: What is sent again and again.
+        only_resumed: Whether other streams break off after an event, so that they are resumed.
+    """
+
+    block: bytes
+    only_resumed: bool
+
+
 @dataclass(kw_only=True)
 class Manner:
     """How a target answers.
@@ -74,12 +99,14 @@
             it gets it; empty if it refuses none.
         breaks_after: The number of the event after which it breaks off streams; None to send all.
         wrong_rest: What it answers if it is to go on with a stream; None for the rest.
+        endless: What it answers streams with; None for events.
     """
 
     has_little_room: bool = False
     blamed: str = ""
     breaks_after: int | None = None
     wrong_rest: WrongRest | None = None
+    endless: EndlessAnswer | None = None
 
 
 class SoakTarget(TargetStandin):
@@ -206,6 +233,9 @@
         return self.manner.breaks_after if step is None else step
 
     async def _run(self, request, headers, step, responder):
+        if self.manner.endless is not None and "token-counts" in headers:
+            await self._send_endless(request, headers, self.manner.endless, responder)
+            return
         rest = self.manner.wrong_rest
         if rest is None or "last-event-id" not in headers:
             await super()._run(request, headers, step, responder)
@@ -215,6 +245,25 @@
         self.runs.append(run)
         await responder.answer(rest.answer(headers["attempt-id"], self.instance_id))
 
+    async def _send_endless(self, request, headers, endless, responder):
+        """Send blocks without end; once the fault has ended, the stream is broken off."""
+        if endless.only_resumed and "last-event-id" not in headers:
+            await super()._run(request, headers, ENDLESS_BREAKS_AFTER, responder)
+            return
+        now_s = asyncio.get_running_loop().time()
+        run = Run(headers["attempt-id"], headers, request.body, request.target.decode(), now_s)
+        self.runs.append(run)
+        names = (
+            (b"Attempt-Id", headers["attempt-id"].encode()),
+            (b"Server-Seal", self.instance_id.encode()),
+        )
+        await responder.start_stream(200, (*names, (b"Content-Type", b"text/event-stream")))
+        block = endless.block * max(1, ENDLESS_PART_BYTES // len(endless.block))
+        while self.manner.endless is not None:
+            await responder.send(block)
+            await asyncio.sleep(ENDLESS_INTERVAL_S)
+        responder.abort()
+
     def _note_unheld_tickets(self, headers: dict[str, str]) -> None:
         """Record the reservations that a request names and that are not held."""
         for target, name in self._listed_tickets(headers):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from bench.soak.configuration import MOVING_PATH, SPARE_KEY, TOGGLED_PATH, History
 from bench.soak.entries import Exit
 from bench.soak.play import RecoveryLoad, play
-from bench.soak.record import Crash, Shutdown, StatedLimit, Timeline
+from bench.soak.record import Crash, Disturbance, Shutdown, StatedLimit, Timeline
 from bench.soak.regressions import load_regressions
 from bench.soak.schedule import (
     ANSWER_FAULTS,
@@ -227,6 +227,29 @@
         self.assert_kept(self.crashes(2, sent_at_s=100.0, cause=request))
         self.assert_kept(self.crashes(3, sent_at_s=95.0, cause=request))
 
+    def test_prompts_that_are_sent_on_after_all_entries_were_killed_are_found(self):
+        for killed_s, is_known in ((110.0, True), (96.0, False)):
+            with self.subTest(killed_s=killed_s):
+                seen = self.crashes(5, sent_at_s=killed_s + 1.0)
+                seen.timeline.joint_kills.append(killed_s)
+                seen.timeline.disturb_entry(0, killed_s).ended_s = killed_s + 2.0
+                self.assertEqual(self.rules(seen), {"forgotten"} if is_known else set())
+
+    def test_entry_that_exceeds_its_memory_is_found(self):
+        self.assert_broken("resident", observations(resident_bytes={0: 101 * 1024 * 1024}))
+        self.assert_kept(observations(resident_bytes={0: 60 * 1024 * 1024}))
+
+    def test_calls_that_are_held_up_beside_a_target_without_an_end_are_found(self):
+        for taken_s, rules in ((0.9, {"held_up"}), (0.1, set())):
+            with self.subTest(taken_s=taken_s):
+                attempts = [
+                    attempt(request_id=f"a{n}", ended_s=100.0 + taken_s, body=b"answer to a%d" % n)
+                    for n in range(12)
+                ]
+                seen = observations(*attempts)
+                seen.timeline.endless.append(Disturbance(began_s=99.0, ended_s=102.0))
+                self.assertEqual(self.rules(seen), rules)
+
     def limited(self, rate_per_s):
         timeline = Timeline()
         limit = StatedLimit(instance_id="t0-1", rate_per_s=rate_per_s, began_s=90.0)
