Wire fuzzer: statuses that are none, and early answers that break off

Drawn: statuses 000, 099 and 600, and answers without a length to uploads that are not read whole, whose connection is closed on one side and reset later. A new property: a caller's status is one.

--- a/tests/support/scripted_targets.py
+++ b/tests/support/scripted_targets.py
@@ -46,7 +46,7 @@
 
 def frame(status, headers=(), body=b"", *, is_chunked=False):
     """Return an answer with a length, or in one chunk."""
-    lines = [b"HTTP/1.1 %d Status" % status, *(b"%s: %s" % pair for pair in headers)]
+    lines = [b"HTTP/1.1 %03d Status" % status, *(b"%s: %s" % pair for pair in headers)]
     if is_chunked:
         lines.append(b"Transfer-Encoding: chunked")
         chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -125,6 +125,13 @@
         for start in range(0, len(data), size_bytes):
             self._send(bytes(data[start : start + size_bytes]))
 
+    def can_write_eof(self):
+        return True
+
+    def write_eof(self):
+        """Close the sending side."""
+        self._send(None)
+
     def close(self):
         if self._closing:
             return
--- a/tests/support/wire_checks.py
+++ b/tests/support/wire_checks.py
@@ -13,6 +13,7 @@
 from .wire_targets import OTHER_HEAD, cut_at, event
 
 OWN_FAILURES = (502, 503, 504)
+MIN_STATUS, MAX_STATUS = 100, 599
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNSAFE_KINDS = ("unsafe", "upload")
 STREAM_KINDS = ("stream", "resume")
@@ -41,6 +42,13 @@
             yield f"{call.request_id}: {reply.status} {reply.body[:60]!r} is no target's answer"
 
 
+def check_status_is_one(play):
+    """A caller gets a status, whatever a target sent."""
+    for call in play.calls:
+        if call.reply is not None and not MIN_STATUS <= call.reply.status <= MAX_STATUS:
+            yield f"{call.request_id}: status {call.reply.status}"
+
+
 def check_failure_is_true(play):
     """A failure whose outcome is unknown does not replace a sound answer."""
     for call in play.calls:
--- a/tests/support/wire_plants.py
+++ b/tests/support/wire_plants.py
@@ -3,7 +3,9 @@
 from unittest import mock
 
 from cicadatiller.egress import ResponseMatch, ResponseMatcher
+from cicadatiller.egress import _connection as connection
 from cicadatiller.egress._inner_head import InnerHeadSearch
+from cicadatiller.egress._unsent import UnsentWatch
 from cicadatiller.gateway import _stream as stream
 from cicadatiller.gateway._stream import StreamRelay
 
@@ -110,7 +112,19 @@
     return [mock.patch.object(InnerHeadSearch, name, lambda *_: False) for name in names]
 
 
+def _take_any_status():
+    """A status is any number of three digits."""
+    return [mock.patch.object(connection, "check_status", lambda status: status)]
+
+
+def _take_early_end():
+    """An answer without a length is whole at the end of what is sent, whatever is unsent."""
+    return [mock.patch.object(UnsentWatch, "is_unsent", False)]
+
+
 PLANTS = {
+    "any-status": _take_any_status,
+    "early-end": _take_early_end,
     "a-shared-orders": _share_orders,
     "b-unmatched-answer": lambda: _take_unmatched(lambda head: True),
     "c-unsigned-stream": _pass_on_unsigned,
--- a/tests/support/wire_schedules.py
+++ b/tests/support/wire_schedules.py
@@ -21,6 +21,9 @@
     "busy": 429,
     "slow": 408,
     "garbage": 0,
+    "status 000": 0,
+    "status 099": 99,
+    "status 600": 600,
 }
 REFUSALS = {"refuse": 503, "blame": 503, "limit": 429, "mistake": 421}
 # What a stream bears: those of which one target's answer alone may be forwarded, and the others.
@@ -63,7 +66,7 @@
 
     Attributes:
         at_byte: How many bytes are sent; from the end if negative.
-        by: "close", "reset" or "silence".
+        by: "close", "reset", "silence", or "half-close": the sending side only, and a reset later.
         filler: What is sent behind it on the connection first; None for nothing.
     """
 
@@ -181,6 +184,15 @@
     st.fixed_dictionaries({"wait_s": st.sampled_from([0.05, 0.4, 0.9, 1.6])}),
     st.fixed_dictionaries({"is_early": st.just(True)}),
 )
+# An answer without a length to an upload that is not read whole, and that breaks off.
+_EARLY_PARTS = st.builds(
+    Answer,
+    framing=st.just("none"),
+    is_early=st.just(True),
+    cut=st.builds(
+        Cut, at_byte=st.sampled_from([100_000, -3]), by=st.sampled_from(["half-close", "close"])
+    ),
+)
 
 
 def _merge(departures: list[dict[str, object]], **fixed: object) -> Answer:
@@ -263,6 +275,7 @@
     _call_steps(("unsafe", "safe", "upload", "head"), _REPEATED_REFUSALS),
     _call_steps(("stream", "resume"), _RESUMED_STREAMS),
     _call_steps(CALLS, st.lists(_FILLED_ANSWERS, min_size=1, max_size=2).map(tuple)),
+    _call_steps(("upload",), st.lists(_EARLY_PARTS, min_size=1, max_size=2).map(tuple)),
     _EXCHANGE_STEPS,
 )
 SCHEDULES = st.builds(
--- a/tests/support/wire_targets.py
+++ b/tests/support/wire_targets.py
@@ -12,6 +12,8 @@
 
 # How long a target that answers early leaves the rest of a body unread.
 UNREAD_S = 0.1
+# From the end of what a target sends until it resets the connection, if it closes one side first.
+HALF_CLOSED_S = 0.05
 REPORT_SERIAL_UNIT = 1e-6
 GARBAGE = b"\x16\x03\x01\x00 this is no response\r\n\r\n"
 # The head of a response up to a header that only targets' responses have.
@@ -194,7 +196,7 @@
     if framing == "usual":
         framing = "chunked" if exchange.is_stream and exchange.status == 200 else "length"
     if framing == "none":
-        lines = [b"HTTP/1.1 %d Status" % exchange.status]
+        lines = [b"HTTP/1.1 %03d Status" % exchange.status]
         lines.extend(b"%s: %s" % pair for pair in headers)
         data = b"\r\n".join(lines) + b"\r\n\r\n" + body
     else:
@@ -302,6 +304,12 @@
                 exchange.is_whole = True
             elif part == "close":
                 self._transport.close()
+            elif part == "half-close":
+                # What the entry sends on may still come, else it is told by the reset.
+                exchange.is_whole |= _ends_with_connection(exchange) and exchange.body is not None
+                self._transport.write_eof()
+                await asyncio.sleep(HALF_CLOSED_S)
+                self._reset()
             elif part == "reset":
                 self._reset()
             elif part:
@@ -318,7 +326,7 @@
     yield b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" * answer.interims
     data = exchange.response
     end = len(data) if answer.cut is None else cut_at(answer.cut, len(data))
-    has_no_length = answer.framing == "none" and exchange.method != "HEAD"
+    has_no_length = _ends_with_connection(exchange)
     ending = ("close" if has_no_length else "") if answer.cut is None else answer.cut.by
     if answer.cut is not None and answer.cut.filler is not None and end < len(data):
         yield from _filled_parts(exchange, data[:end], history, record)
@@ -330,10 +338,11 @@
         yield 0.002 if split < end else 0.0
         start = split
     head_bytes = len(data) - len(exchange.response_body)
-    if has_no_length and ending == "close" and end >= head_bytes:
+    if has_no_length and ending in ("close", "half-close") and end >= head_bytes:
         # By the protocol, the end of the connection ends the body.
         exchange.response_body = data[head_bytes:end]
-        yield "whole"
+        if ending == "close":
+            yield "whole"
     elif end == len(data) and not has_no_length:
         yield "whole"
     if ending:
@@ -344,6 +353,10 @@
         yield _surplus_bytes(answer.after, exchange, [*history, exchange], record)
 
 
+def _ends_with_connection(exchange):
+    return exchange.answer.framing == "none" and exchange.method != "HEAD"
+
+
 def _filled_parts(exchange, begin, history, record):
     """Yield the parts of a response that is cut and filled up, and record its reads."""
     filler = exchange.answer.cut.filler
--- a/tests/test_wire_fuzzer.py
+++ b/tests/test_wire_fuzzer.py
@@ -9,6 +9,13 @@
 
 EXAMPLES = 600
 PLANTED_EXAMPLES = 1000
+PLANTED = (
+    "any-status",
+    "b-unmatched-answer",
+    "d-second-send",
+    "early-end",
+    "resumed-event-without-id",
+)
 
 # A response whose status states that the request did not run, though it ran (found by seed 1).
 BUSY_AFTER_RUN = Schedule(steps=(Step(kind="safe", answers=(Answer(form="busy"),)),))
@@ -84,7 +91,7 @@
 
 class PlantedFaultTest(unittest.TestCase):
     def test_planted_faults_are_found(self):
-        for plant in ("b-unmatched-answer", "d-second-send", "resumed-event-without-id"):
+        for plant in PLANTED:
             with self.subTest(plant):
                 found = search(PLANTED_EXAMPLES, 1, plant=plant, shrinks=False)
                 self.assertIsNotNone(found.schedule)
