Own interface: the lines of a feed that wait are limited, and those read in a turn

Looked at as the platform's streams had the fault: a thread read an engine's feed into a queue without a limit, and empty lines were skipped without a turn for others.

--- a/src/cicadatiller/http_client/_client.py
+++ b/src/cicadatiller/http_client/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import threading
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -17,6 +18,12 @@
 
 READ_BLOCK_BYTES = 65_536
 MAX_LINE_BYTES = 16 * 1024 * 1024
+# Of lines that wait to be read; the thread stops reading the response while there are more.
+MAX_QUEUED_BYTES = 1024 * 1024
+# Of a line in a queue beyond its bytes.
+LINE_OVERHEAD_BYTES = 64
+# Lines that are returned before other tasks get their turn.
+MAX_TURN_LINES = 256
 # A response must be complete within this many times the timeout of a read.
 RESPONSE_READS = 10
 # A malformed size of a chunk raises a ValueError.
@@ -194,7 +201,13 @@
     ) -> None:
         self._loop = loop
         self._open_response = open_response
-        self._lines: asyncio.Queue[bytes | HttpUnreachableError] = asyncio.Queue()
+        # The lines of each block that was read, and then why no more come.
+        self._blocks: asyncio.Queue[deque[bytes] | HttpUnreachableError] = asyncio.Queue()
+        self._block: deque[bytes] = deque()
+        self.queued_bytes = 0
+        self._turn_lines = 0
+        self._has_room = threading.Event()
+        self._has_room.set()
         self._response: urllib3.BaseHTTPResponse | None = None
         self._lock = threading.Lock()
         self._stopped = False
@@ -203,18 +216,39 @@
         threading.Thread(target=self._read, daemon=True, name="http lines").start()
 
     async def next_line(self, limit_s: float) -> bytes:
+        self._turn_lines += 1
+        if self._turn_lines >= MAX_TURN_LINES:
+            self._turn_lines = 0
+            await asyncio.sleep(0.0)
+        while not self._block:
+            self._block = await self._next_block(limit_s)
+        line = self._block.popleft()
+        self._count(-_size_of(line))
+        return line
+
+    async def _next_block(self, limit_s: float) -> deque[bytes]:
         try:
             async with asyncio.timeout(limit_s):
-                line = await self._lines.get()
+                block = await self._blocks.get()
         except TimeoutError as error:
             raise HttpUnreachableError(f"no line arrived for {limit_s:g} s", sent=True) from error
-        if isinstance(line, HttpUnreachableError):
-            raise line
-        return line
+        if isinstance(block, HttpUnreachableError):
+            raise block
+        return block
+
+    def _count(self, more_bytes: int) -> None:
+        """Count what waits to be read; the thread reads on while there is room."""
+        with self._lock:
+            self.queued_bytes += more_bytes
+            if self._stopped or self.queued_bytes < MAX_QUEUED_BYTES:
+                self._has_room.set()
+            else:
+                self._has_room.clear()
 
     def stop(self) -> None:
         with self._lock:
             self._stopped = True
+            self._has_room.set()
             if self._response is None:
                 return
             # The response may end by itself at the same moment.
@@ -225,7 +259,7 @@
         try:
             response = self._open_response()
         except RESPONSE_ERRORS as error:
-            self._enqueue([_unreachable(error)])
+            self._enqueue(_unreachable(error))
             return
         with self._lock:
             self._response = response
@@ -235,7 +269,7 @@
         try:
             self._read_lines(response)
         except RESPONSE_ERRORS as error:
-            self._enqueue([HttpUnreachableError(f"the response was aborted: {error}", sent=True)])
+            self._enqueue(HttpUnreachableError(f"the response was aborted: {error}", sent=True))
         finally:
             with self._lock:
                 self._response = None
@@ -243,23 +277,28 @@
 
     def _read_lines(self, response: urllib3.BaseHTTPResponse) -> None:
         if response.status != 200:
-            self._enqueue([HttpUnreachableError(f"unexpected status {response.status}", sent=True)])
+            self._enqueue(HttpUnreachableError(f"unexpected status {response.status}", sent=True))
             return
         rest = b""
         while block := response.read1(READ_BLOCK_BYTES):
             *lines, rest = (rest + block).split(b"\n")
             if len(rest) > MAX_LINE_BYTES:
                 raise HTTPException(f"a line is longer than {MAX_LINE_BYTES} bytes")
-            self._enqueue(lines)
-        self._enqueue([HttpUnreachableError("the server ended the response", sent=True)])
+            if lines:
+                self._count(sum(map(_size_of, lines)))
+                self._enqueue(deque(lines))
+            self._has_room.wait()
+            if self._stopped:
+                return
+        self._enqueue(HttpUnreachableError("the server ended the response", sent=True))
+
+    def _enqueue(self, block: deque[bytes] | HttpUnreachableError) -> None:
+        if not self._stopped and not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(self._blocks.put_nowait, block)
 
-    def _enqueue(self, lines: "list[bytes] | list[HttpUnreachableError]") -> None:
-        if lines and not self._stopped and not self._loop.is_closed():
-            self._loop.call_soon_threadsafe(self._enqueue_in_loop, lines)
 
-    def _enqueue_in_loop(self, lines: "list[bytes] | list[HttpUnreachableError]") -> None:
-        for line in lines:
-            self._lines.put_nowait(line)
+def _size_of(line: bytes) -> int:
+    return len(line) + LINE_OVERHEAD_BYTES
 
 
 def _unreachable(error: Exception) -> HttpUnreachableError:
