Streams: an id of thousands of digits fails the attempt, not the request

Found while looking at what a target's bytes may do in one turn: Python reads no number of more than 4,300 digits, and the error ended the request, which was not resumed elsewhere. Ids of more than 18 digits are no next ones now. The new test was red before (a stream that ended after its first event).

--- a/src/cicadatiller/gateway/_stream.py
+++ b/src/cicadatiller/gateway/_stream.py
@@ -22,6 +22,7 @@
 MIN_TIMEOUT_S = 1.5
 # Of a stream beyond one for each token of its output: some may have none.
 MAX_EXTRA_EVENTS = 256
+MAX_ID_DIGITS = 18
 # Between two turns of a stream whose target has sent more blocks than one turn forwards.
 TURN_PAUSE_S = 0.01
 
@@ -226,4 +227,6 @@
     """Return whether an event may follow another one; ids that are numbers increase by one."""
     if not last_event_id.isdigit():
         return bool(event_id) or not last_event_id
-    return event_id.isdigit() and int(event_id) == int(last_event_id) + 1
+    if not event_id.isdigit() or max(len(event_id), len(last_event_id)) > MAX_ID_DIGITS:
+        return False
+    return int(event_id) == int(last_event_id) + 1
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -138,6 +138,19 @@
         self.assertLess(reply.taken_s, 2.0)
         self.assertEqual(server.open_connections, 0)
 
+    def test_a_stream_with_an_id_of_thousands_of_digits_goes_on_at_another_target(self):
+        """Python reads no number of more than 4,300 digits; the error ended the whole request."""
+
+        async def scenario(fleet):
+            first = chunk(b"id: 1\ndata: 1\n\nid: " + b"9" * 5000 + b"\ndata: 2\n\n")
+            server = self.replace_target(fleet, 1, EVENT_HEAD + first, b"")
+            return await fleet.ask_many(8, "stream", deadline_ms=5000), server
+
+        replies, server = self.run_scenario(scenario, targets=("engines", "engines"))
+        self.assertGreater(server.requests, 0)
+        for reply in replies:
+            self.assertEqual((reply.events, reply.whole), ([1, 2, 3, 4, 5], True))
+
     def test_silence_before_a_partial_event_does_not_end_a_stream(self):
         """A target may be silent for longer than callers wait; only bytes that are no event count."""
         target = _Source([(b"id: 1\ndata: 1\n\n", 0.0), (b"id: 2\nda", 9.0), (b"ta: 2\n\n", 0.1)])
