--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -144,7 +144,7 @@
         async def scenario(fleet):
             first = chunk(b"id: 1\ndata: 1\n\nid: " + b"9" * 5000 + b"\ndata: 2\n\n")
             server = self.replace_target(fleet, 1, EVENT_HEAD + first, b"")
-            return await fleet.ask_many(8, "stream", deadline_ms=5000), server
+            return await fleet.ask_many(12, "stream", deadline_ms=5000), server
 
         replies, server = self.run_scenario(scenario, targets=("engines", "engines"))
         self.assertGreater(server.requests, 0)
