--- a/tests/test_endless_feeds.py
+++ b/tests/test_endless_feeds.py
@@ -33,6 +33,10 @@
                     break
             writer.close()
 
+        return await self.read_from(serve)
+
+    async def read_from(self, serve):
+        """Return the lines of a server's feed."""
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
         host, port = server.sockets[0].getsockname()
@@ -80,12 +84,7 @@
             writer.write(b"".join(b"%d\n" % number for number in range(100_000)))
             writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        client = HttpClient(url=f"http://{host}:{port}", timeouts=HttpTimeouts(), threads=1)
-        self.addAsyncCleanup(client.close)
-        lines = client.lines("/outputs")
+        lines = await self.read_from(serve)
         for number in range(100_000):
             self.assertEqual(int(await anext(lines)), number)
         await lines.aclose()
