--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -19,7 +19,7 @@
     FingerprintBreakers,
     OpenBreaker,
 )
-from ._losses import RequestLoss
+from ._losses import RequestLoss, name_run
 from ._store import (
     UNSTATED_ERA,
     HistoryLostError,
@@ -65,6 +65,7 @@
     "eject_failing",
     "eject_slow",
     "kind_of",
+    "name_run",
     "label_workspace_part",
     "ring_order",
     "rule_of",
--- a/src/cicadatiller/fleet/_losses.py
+++ b/src/cicadatiller/fleet/_losses.py
@@ -20,6 +20,24 @@
 # Of a fingerprint that stands for one request: only targets that ended this close to those that it
 # was lost with are compared with them.
 NEARBY_S = 2.0
+RUN_SEPARATOR = "@"
+# One target that ends again and again may do so for a reason of its own.
+MIN_INSTANCES = 2
+
+
+def name_run(instance_id: str, started_ms: int) -> str:
+    """Return the name of a run of a target, which may start again under its instance id.
+
+    Args:
+        instance_id: The instance id.
+        started_ms: The start in Unix milliseconds; 0 if it is unknown.
+    """
+    return f"{instance_id}{RUN_SEPARATOR}{started_ms}" if started_ms else instance_id
+
+
+def _instance_of(run: str) -> str:
+    instance_id, separator, started_ms = run.rpartition(RUN_SEPARATOR)
+    return instance_id if separator and started_ms.isdigit() else run
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,7 +45,7 @@
     """A request that was lost with its target. Times are loop times.
 
     Attributes:
-        target_id: The instance id of the target.
+        target_id: The run of the target, see `name_run`.
         request: What tells the request from others: the last part of its prompt, which identifies
             it or its session, or its fingerprint.
         fingerprints: What it has in common with others, the most common first.
@@ -144,7 +162,9 @@
         targets = {loss.target_id for loss in counted}
         if targets <= explained.keys():
             return None
-        if len(targets) < rule.targets or len({loss.request for loss in counted}) < rule.requests:
+        if len(targets) < rule.targets or len(set(map(_instance_of, targets))) < MIN_INSTANCES:
+            return None
+        if len({loss.request for loss in counted}) < rule.requests:
             return None
         if rule.is_shared and _is_from_one_workspace(fingerprint, counted):
             return None
--- a/src/cicadatiller/gateway/_request_guard.py
+++ b/src/cicadatiller/gateway/_request_guard.py
@@ -13,6 +13,7 @@
     RequestLoss,
     Target,
     kind_of,
+    name_run,
 )
 from ..kernel import (
     ErrorKind,
@@ -162,7 +163,7 @@
             return
         host = attempt.grant.host
         loss = RequestLoss(
-            target_id=host.instance_id,
+            target_id=name_run(host.instance_id, host.record.started_ms),
             request=job.identity,
             fingerprints=job.fingerprints,
             sent_s=attempt.began_s,
--- a/tests/test_stored_evidence.py
+++ b/tests/test_stored_evidence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from cicadatiller.evidence._stored import (
     HANDOVER_S,
@@ -273,3 +274,43 @@
         opened = self.run_streams(scenario)
         self.assertIsNotNone(opened)
         self.assertGreater(opened.forgotten_at_s, REQUEST_RULE.max_age_s)
+
+
+class RebornTargetsTest(StoredEvidenceCase):
+    """review/10: targets that start again under their ids were counted once, however often they end."""
+
+    async def revive(self, fleet):
+        """Start the targets that crashed again, as new runs."""
+        for number, target in enumerate(fleet.targets.values(), start=1):
+            if target.instance_id in self.crashed:
+                await target.start(f"10.0.1.{number}")
+                fleet.register(target, born=int(1000 * time.time()) + int(fleet.loop.time()))
+        self.crashed.clear()
+
+    def count(self, targets):
+        async def scenario(fleet):
+            self.arm(fleet)
+            await self.send(fleet, 100, entry=0, part="5b")
+            for number in range(12):
+                await self.send(fleet, number, entry=number % 2)
+                await asyncio.sleep(DOWN_S)
+                await self.revive(fleet)
+                await asyncio.sleep(1.0)
+            breakers = fleet.gateways[0].peer_sync.evidence.breakers
+            return self.arrivals(fleet), [known.fingerprint for known in breakers.open_breakers]
+
+        return self.run_scenario(
+            scenario,
+            targets=("engines",) * targets,
+            config=configuration(3, routes=ROUTES),
+            entries=2,
+        )
+
+    def test_a_part_that_crashes_two_targets_again_and_again_is_refused(self):
+        arrived_s, opened = self.count(2)
+        self.assert_few_later(arrived_s)
+        self.assertTrue(any(CRASHING in fingerprint for fingerprint in opened))
+
+    def test_one_target_that_ends_again_and_again_blames_nothing(self):
+        _, opened = self.count(1)
+        self.assertEqual(opened, [])
