Evidence: an entry reads what is stored once callers can be served

Its read stood beside that of the configuration, which was in force 6 ms later after an entry's start (33.5 in place of 27.7 ms).

--- a/src/cicadatiller/gateway/_process.py
+++ b/src/cicadatiller/gateway/_process.py
@@ -184,7 +184,7 @@
         )
         for topic, follower in self._topics.followers.items():
             self._tasks.keep_running(follower.run, name=f"follow {topic.value}")
-        self._tasks.keep_running(self._stored_evidence.run, name="evidence")
+        self._tasks.keep_running(self._keep_evidence, name="evidence")
         self._tasks.start(self._start_mesh(), name="start mesh")
         self._tasks.keep_running(self._membership.run, name="membership")
         self._tasks.keep_running(self._redialer.run, name="reviver")
@@ -212,6 +212,11 @@
         await self.peer_sync.mesh.start(self._node.peer_address)
         self._on_members_change()
 
+    async def _keep_evidence(self) -> None:
+        """Read the stored evidence once callers can be served, and keep it up to date."""
+        await self._synced.wait()
+        await self._stored_evidence.run()
+
     def apply_node_settings(self, node: NodeSettings, revision: SettingsRevision) -> None:
         """Apply reloaded settings; addresses and process limits need a restart."""
         self._node = node
