--- a/bench/soak/answer_checks.py
+++ b/bench/soak/answer_checks.py
@@ -46,10 +46,10 @@
     ran_at = {run.headers.get("expect-instance") for _, run in seen.runs_of(attempt)}
     if attempt.signature not in ran_at:
         return f"signed by {attempt.signature or 'none'}"
-    return "" if _is_body_right(attempt) else "another body"
+    return "" if _is_body_right(seen, attempt) else "another body"
 
 
-def _is_body_right(attempt: Attempt) -> bool:
+def _is_body_right(seen: Observations, attempt: Attempt) -> bool:
     if attempt.kind != "stream":
         expected = b"answer to " + attempt.request_id.encode()
         return attempt.body == expected if attempt.is_whole else expected.startswith(attempt.body)
@@ -57,8 +57,10 @@
         b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, STREAM_EVENTS + 1)
     )
     body = attempt.body
-    for block in ENDLESS_BLOCKS:
-        body = _without_partial(body.replace(block, b""), block)
+    for block in ENDLESS_BLOCKS if seen.timeline.endless else ():
+        body = body.replace(block, b"")
+        if not attempt.is_whole:
+            body = _without_partial(body, block)
     return body == expected if attempt.is_whole else expected.startswith(body)
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,7 +5,12 @@
 
 from bench.soak.answer_checks import ANSWER_CHECKS, DENIALS, GATEWAY_FAILURES, REFUSALS
 from bench.soak.configuration import COLD_PER_S
-from bench.soak.crowd_checks import CROWD_CHECKS
+from bench.soak.crowd_checks import (
+    CROWD_CHECKS,
+    MAX_SENDS_AFTER_CRASHES,
+    PART_CRASHES,
+    REQUEST_CRASHES,
+)
 from bench.soak.entries import (
     COLD_OVERSHOOT,
     COLD_SLACK,
@@ -34,11 +39,6 @@
 # last sixth of the time for the shutdown.
 SHUTDOWN_ACCEPT_S = 3.0
 SHUTDOWN_WORK_SHARE = 5 / 6
-# What may reach targets after the fifth that ended under a part of a prompt, or the third that ended
-# under a request.
-CRASHES_WITHOUT_BOUND = 5
-REQUEST_CRASHES_WITHOUT_BOUND = 3
-MAX_SENDS_AFTER_CRASHES = 3
 # What a target may get in a window beyond the rate that it states.
 LIMIT_WINDOW_S = 4.0
 LIMIT_EXCESS = 1.5
@@ -188,7 +188,7 @@
     by_id = {attempt.request_id: attempt for attempt in seen.attempts}
     for cause in {crash.cause for crash in seen.timeline.crashes}:
         is_request = cause.startswith("/")
-        without_bound = REQUEST_CRASHES_WITHOUT_BOUND if is_request else CRASHES_WITHOUT_BOUND
+        without_bound = REQUEST_CRASHES if is_request else PART_CRASHES
         ended_s = sorted(crash.at_s for crash in seen.timeline.crashes if crash.cause == cause)
         if len(ended_s) < without_bound:
             continue
--- a/bench/soak/crowd_checks.py
+++ b/bench/soak/crowd_checks.py
@@ -13,11 +13,13 @@
 # Beside a target that sends without end, calls of other services take little longer than their work.
 MIN_CALLS_BESIDE = 10
 MAX_ADDED_S = 0.4
-# What ended so many targets, so long before all entries were killed, is known after they start.
+# What may reach targets after the fifth that ended under a part of a prompt, or the third that ended
+# under a request.
 PART_CRASHES = 5
 REQUEST_CRASHES = 3
+MAX_SENDS_AFTER_CRASHES = 3
+# What is known for so long before all entries are killed is in the store.
 STORED_S = 2.5
-MAX_SENDS_AFTER_KILL = 3
 
 
 def check_resident(seen: Observations) -> Iterator[Violation]:
@@ -62,7 +64,7 @@
                 for arrival in seen.arrivals
                 if arrival.at_s > killed_s and by_id[arrival.request_id].crash_cause == cause
             ]
-            if len(sent_on_s) > MAX_SENDS_AFTER_KILL:
+            if len(sent_on_s) > MAX_SENDS_AFTER_CRASHES:
                 text = f"{len(sent_on_s)} requests with {cause} after the kill of all entries"
                 yield Violation(rule="forgotten", text=text, at_s=sent_on_s[0])
 
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -101,10 +101,10 @@
 # Bytes without end, and kills of all entries at once.
 CROWD_FAULTS = (FaultKind.TARGET_ENDLESS, FaultKind.ENTRIES_KILL)
 MAX_CROWD_FAULTS = 2
-# The shortest and the longest; of kills, the time until the entries start again.
 CRASH_FAULTS = frozenset({FaultKind.PROMPT_CRASH, FaultKind.REQUEST_CRASH})
 # The time that entries need at least to learn what crashes targets, and to store it.
 MIN_KNOWN_S = 6.0
+# The shortest and the longest; of kills, the time until the entries start again.
 CROWD_FAULT_S = {FaultKind.TARGET_ENDLESS: (2.0, 5.0), FaultKind.ENTRIES_KILL: (0.3, 1.0)}
 # Drawn only if asked for.
 OPTIONAL_FAULTS = frozenset({FaultKind.STORE_OLDER_COPY})
--- a/src/cicadatiller/evidence/_stored.py
+++ b/src/cicadatiller/evidence/_stored.py
@@ -14,7 +14,7 @@
 KEY = "evidence"
 ROWS_FIELD = "rows"
 MAX_RECORD_BYTES = 64 * 1024
-# What a target that ends takes along is lost within some ms.
+# Requests that are lost with the same target are stored together.
 WRITE_DELAY_S = 0.1
 MIN_WRITE_INTERVAL_S = 1.0
 # The record has ages, as clocks of instances differ and step, so it is written again meanwhile.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -235,6 +235,20 @@
                 seen.timeline.disturb_entry(0, killed_s).ended_s = killed_s + 2.0
                 self.assertEqual(self.rules(seen), {"forgotten"} if is_known else set())
 
+    def test_blocks_of_targets_without_an_end_are_left_out_only_beside_one(self):
+        whole = attempt(kind="stream", path="/stream/x", body=b"id\n\n" + STREAM)
+        partial = attempt(kind="stream", path="/stream/x", body=STREAM + b"i")
+        for one, is_beside, rules in (
+            (whole, True, set()),
+            (whole, False, {"mixed"}),
+            (partial, True, {"mixed"}),
+        ):
+            with self.subTest(body=one.body[-8:], is_beside=is_beside):
+                timeline = Timeline()
+                if is_beside:
+                    timeline.endless.append(Disturbance(began_s=99.0, ended_s=102.0))
+                self.assertEqual(self.rules(observations(one, timeline=timeline)), rules)
+
     def test_entry_that_exceeds_its_memory_is_found(self):
         self.assert_broken("resident", observations(resident_bytes={0: 101 * 1024 * 1024}))
         self.assert_kept(observations(resident_bytes={0: 60 * 1024 * 1024}))
