--- a/review/11/case.py
+++ b/review/11/case.py
@@ -64,9 +64,7 @@
     )
     keep(world)
     for _ in range(WORKERS):
-        world.add_worker_process(
-            "llm", manner={"crash_after_events": 1}, deadly=f",{DEADLY_PART}:"
-        )
+        world.add_worker_process("llm", manner={"crash_after_events": 1}, deadly=f",{DEADLY_PART}:")
     await world.start()
     reviving = asyncio.create_task(revive(world))
     tasks = []
--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -459,7 +459,9 @@
         if withhold:
             return
         self.apply_order(order)
-        writer.write(self._json(200, {"free": 232000 - sum(t["tokens"] for t in self.tickets.values())}))
+        writer.write(
+            self._json(200, {"free": 232000 - sum(t["tokens"] for t in self.tickets.values())})
+        )
 
     def apply_order(self, order):
         """Carry out a reserve or release order."""
@@ -656,7 +658,7 @@
             lines.append(f"Content-Length: {len(body)}")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         return await asyncio.wait_for(_read_answer(reader), timeout_s)
-    except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError):
+    except (TimeoutError, asyncio.IncompleteReadError, ConnectionError):
         return Answer(0, {}, b"", False)
     finally:
         writer.transport.abort()
@@ -686,7 +688,9 @@
 class World:
     """One small deployment: store, workers, entries and the record."""
 
-    def __init__(self, record_path, *, entries, routes, services, keys=None, drain_ms=2000, contact_ms=3000):
+    def __init__(
+        self, record_path, *, entries, routes, services, keys=None, drain_ms=2000, contact_ms=3000
+    ):
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review-")
         second, third = random.randrange(16, 240), random.randrange(1, 250)
@@ -769,7 +773,9 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(CONTACT_S)
 
-    async def send(self, entry, method, path, *, headers=None, body=b"", key="key-a", timeout_s=10.0):
+    async def send(
+        self, entry, method, path, *, headers=None, body=b"", key="key-a", timeout_s=10.0
+    ):
         """Send one request to an entry; record it and its answer."""
         request = f"a{next(self._numbers):06d}"
         sent = self.record.add("sent", request=request, entry=entry.name, path=path)
