--- a/src/cicadatiller/entry/_crash_guard.py
+++ b/src/cicadatiller/entry/_crash_guard.py
@@ -1,18 +1,17 @@
 """Keeps requests from targets if targets crash under them, or under a part of their prompts."""
 
 import asyncio
-import hashlib
 from collections.abc import Callable, Collection
 
 from ..evidence import find_settled
 from ..fleet import (
-    DIGEST_CHARACTERS,
     REQUEST_KINDS,
     WEIGHING_DELAY_S,
     FingerprintBreakers,
     FingerprintKind,
     OpenBreaker,
     RequestLoss,
+    identify_request,
     kind_of,
     rule_of,
 )
@@ -31,20 +30,19 @@
 
 def request_fingerprint(request: WorkRequest) -> str:
     """Return what identifies a request however often it comes, under whatever id or key."""
-    head = (
-        request.workspace,
-        request.model,
-        request.adapter,
-        request.max_output_tokens,
-        request.service,
-        request.method,
-        len(request.prompt),
+    identity = identify_request(
+        workspace=request.workspace,
+        operation=(
+            request.model,
+            request.adapter,
+            request.max_output_tokens,
+            request.service,
+            request.method,
+        ),
+        prompt=request.prompt,
+        body=request.payload,
     )
-    # Callers' fields may hold any characters, but not those that delimit them here.
-    digest = hashlib.sha256(repr(head).encode())
-    digest.update(request.prompt.encode())
-    digest.update(request.payload)
-    return FingerprintKind.REQUEST.label(digest.hexdigest()[:DIGEST_CHARACTERS])
+    return FingerprintKind.REQUEST.label(identity)
 
 
 class CrashGuard:
--- a/src/cicadatiller/fleet/__init__.py
+++ b/src/cicadatiller/fleet/__init__.py
@@ -5,7 +5,6 @@
 from ._cold_start import ColdLimits, ColdStart
 from ._directory import Target, TargetDirectory
 from ._fingerprint import (
-    DIGEST_CHARACTERS,
     REQUEST_KINDS,
     FingerprintKind,
     digest_fields,
@@ -20,6 +19,7 @@
     OpenBreaker,
 )
 from ._losses import RequestLoss, name_run
+from ._request_identity import identify_request
 from ._store import (
     UNSTATED_ERA,
     HistoryLostError,
@@ -36,7 +36,6 @@
 __all__ = [
     "ColdLimits",
     "ColdStart",
-    "DIGEST_CHARACTERS",
     "REQUEST_KINDS",
     "WEIGHING_DELAY_S",
     "SHARING_ENTRIES",
@@ -64,6 +63,7 @@
     "digest_fields",
     "eject_failing",
     "eject_slow",
+    "identify_request",
     "kind_of",
     "name_run",
     "label_workspace_part",
--- a/src/cicadatiller/fleet/_fingerprint.py
+++ b/src/cicadatiller/fleet/_fingerprint.py
@@ -25,8 +25,9 @@
     REQUEST = "request"
     """Method, host, path, workspace and body of a request."""
 
-    QUERY = "query"
-    """The same, with the query, of a request that has one."""
+    # Its name is that of older versions, which had it for queries only.
+    EXACT = "query"
+    """The same, with the query and the prompt, of a request that has one of these."""
 
     def label(self, value: str) -> str:
         """Return the fingerprint of this kind with a value."""
@@ -86,10 +87,10 @@
     FingerprintKind.PART: PART_RULE,
     FingerprintKind.WORKSPACE_PART: WORKSPACE_PART_RULE,
     FingerprintKind.REQUEST: REQUEST_RULE,
-    FingerprintKind.QUERY: REQUEST_RULE,
+    FingerprintKind.EXACT: REQUEST_RULE,
 }
 # Kinds whose fingerprints stand for one request, not for what it shares with others.
-REQUEST_KINDS = frozenset({FingerprintKind.REQUEST, FingerprintKind.QUERY})
+REQUEST_KINDS = frozenset({FingerprintKind.REQUEST, FingerprintKind.EXACT})
 # Kinds whose fingerprints many requests share.
 PART_KINDS = tuple(kind for kind in FingerprintKind if kind not in REQUEST_KINDS)
 _RANKS = {kind: rank for rank, kind in enumerate(FingerprintKind)}
--- a/src/cicadatiller/fleet/_losses.py
+++ b/src/cicadatiller/fleet/_losses.py
@@ -46,8 +46,7 @@
 
     Attributes:
         target_id: The run of the target, see `name_run`.
-        request: What tells the request from others: the last part of its prompt, which identifies
-            it or its session, or its fingerprint.
+        request: What tells the request from others; see `identify_request`.
         fingerprints: What it has in common with others, the most common first.
         sent_s: When it was sent to the target.
         lost_s: When it was lost.
--- a/src/cicadatiller/gateway/_job.py
+++ b/src/cicadatiller/gateway/_job.py
@@ -17,7 +17,8 @@
         route: Its route in the configuration at its arrival.
         service: Name of the service that runs it.
         workspace: The workspace of the caller; None for anonymous requests.
-        fingerprints: What the request has in common with others, the most common first.
+        fingerprints: What the request has in common with others, the most common first; the last
+            one it shares with its copies only.
         caller_deadline_s: Loop time at which the caller stops waiting.
         deadline_s: Loop time at which the response is due: the earlier of the caller's and the
             route's deadline.
@@ -39,5 +40,5 @@
 
     @property
     def identity(self) -> str:
-        """Return what tells the request, or its session, from those that share its prompt."""
-        return self.fields.prompt_parts[-1] if self.fields.prompt_parts else self.fingerprints[-1]
+        """Return what tells the request from others, also from other turns of its session."""
+        return self.fingerprints[-1]
--- a/src/cicadatiller/gateway/_wire.py
+++ b/src/cicadatiller/gateway/_wire.py
@@ -17,6 +17,7 @@
         host: The host in lower case, without a port.
         remaining_s: The time until the caller's deadline; None if not stated.
         key: The workspace's key; None if missing.
+        model: The name of the model; empty if not stated.
         prompt_tokens: The length of the prompt; 0 if the request has no prompt.
         max_output_tokens: The maximum length of the output.
         output_estimate_tokens: The caller's estimate of the output length; 0 if not stated.
@@ -29,6 +30,7 @@
     host: str
     remaining_s: float | None = None
     key: bytes | None = None
+    model: str = ""
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     output_estimate_tokens: int = 0
--- a/src/cicadatiller/platform/_headers.py
+++ b/src/cicadatiller/platform/_headers.py
@@ -21,6 +21,7 @@
 WORKSPACE = b"tenant"
 EXPECTED_INSTANCE = b"expect-instance"
 LAST_EVENT_ID = b"last-event-id"
+MODEL = b"model"
 # "PROMPT,OUTPUT": the prompt's length and the limit on the output, in tokens.
 TOKEN_COUNTS = b"token-counts"
 OUTPUT_ESTIMATE = b"length-hint"
@@ -75,7 +76,7 @@
 )
 # These describe the request itself, so they are forwarded even if the caller lists them in its
 # Connection header.
-_ALWAYS_FORWARDED = frozenset({REQUEST_ID, TOKEN_COUNTS, b"host", b"model", PROMPT_PARTS})
+_ALWAYS_FORWARDED = frozenset({REQUEST_ID, TOKEN_COUNTS, b"host", MODEL, PROMPT_PARTS})
 
 
 class PlatformHeaders:
@@ -91,6 +92,7 @@
             host=_parse_host_name(values.get(b"host", b"")),
             remaining_s=None if remaining_ms is None else remaining_ms / 1000,
             key=_parse_bearer_key(values.get(AUTHORIZATION, b"")),
+            model=values.get(MODEL, b"").decode("latin-1"),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             output_estimate_tokens=int(_parse_number(values.get(OUTPUT_ESTIMATE, b"")) or 0),
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -73,6 +73,18 @@
         self.assertEqual(len({names[0] for names in found}), 1)
         self.assertEqual(len({names[-1] for names in found}), 3)
 
+    def test_turns_of_a_session_and_equal_bodies_of_two_sessions_differ(self):
+        (request,) = parse(with_length(b"abc", POST.replace(b"?fast", b"")))
+        prompts = [
+            {"prompt_parts": ("5a", "f1"), "prompt_tokens": 100},
+            {"prompt_parts": ("5a", "f1"), "prompt_tokens": 101},
+            {"prompt_parts": ("5a", "f2"), "prompt_tokens": 100},
+            {"prompt_parts": ("5a", "f1"), "prompt_tokens": 100, "model": "m"},
+        ]
+        found = [fingerprints(request, host="n", workspace="reef", **prompt) for prompt in prompts]
+        self.assertEqual(len({names[-1] for names in found}), 4)
+        self.assertEqual(len({names[-2] for names in found}), 1)
+
     def test_last_part_of_a_prompt_is_no_fingerprint(self):
         (request,) = parse(with_length(b"abc"))
         names = fingerprints(request, host="n", workspace="", prompt_parts=("5a", "5b", "f1"))
@@ -83,6 +95,6 @@
                 *2 * [FingerprintKind.PART],
                 *2 * [FingerprintKind.WORKSPACE_PART],
                 FingerprintKind.REQUEST,
-                FingerprintKind.QUERY,
+                FingerprintKind.EXACT,
             ],
         )
