--- a/tests/test_limit_properties.py
+++ b/tests/test_limit_properties.py
@@ -7,9 +7,12 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from cicadatiller.cold_start import ColdAllowance
+from cicadatiller.fleet import ColdStart
 from cicadatiller.kernel import TokenBucket
+from cicadatiller.routes import Service
 
-from .support.limit_play import PLAY_S, LimitPlay, Need
+from .support.limit_play import PLAY_S, STEP_S, LimitPlay, Need
 
 EXAMPLES = int(os.environ.get("N", "150"))
 # The users' rule for what reaches a target in some window, from this time after it first named a
@@ -24,6 +27,9 @@
 # Of one entry, of its own and of the first news.
 MAX_TOLD_PER_S = 1.0
 
+ALLOWANCE = ColdAllowance(overshoot=1.5, slack=5)
+COLD_S = 6.0
+
 RATES = st.floats(2.0, 20.0, allow_nan=False)
 VALUES = st.one_of(
     st.lists(RATES, min_size=1, max_size=12),
@@ -101,6 +107,33 @@
         self.assertIsNone(find_excess(LimitPlay(changed).run()))
 
 
+class ColdTargetTest(unittest.TestCase):
+    """The configuration and the share of connected entries change while a target is cold."""
+
+    CHANGES = st.lists(
+        st.tuples(st.sampled_from((16.0, 17.0, 24.0)), st.integers(1, 4)), min_size=1, max_size=6
+    )
+
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @given(CHANGES, st.integers(1, 60), st.sampled_from((1, 4)))
+    def test_cold_target_gets_no_more_than_it_tolerates_in_any_second(self, changes, steps, users):
+        cold, sent_s, now_s = ColdStart(), [], 0.0
+        highest_per_s = max(rate_per_s for rate_per_s, _ in changes)
+        for step in range(round(COLD_S / STEP_S)):
+            now_s = step * STEP_S
+            if step % steps == 0:
+                rate_per_s, connected = changes[step // steps % len(changes)]
+                service = Service(name="engines", cold_start_s=COLD_S, cold_rate_per_s=rate_per_s)
+                cold.record(COLD_S, ALLOWANCE.limits(service), now_s)
+                connected = min(connected, users)
+                cold.set_users(connected=connected, users=users, now_s=now_s)
+            if cold.next_send_s(now_s) <= now_s:
+                cold.record_send(now_s, is_own=True)
+                sent_s.append(now_s)
+        most = max(sum(at_s <= other < at_s + 1.0 for other in sent_s) for at_s in sent_s)
+        self.assertLessEqual(most, highest_per_s * ALLOWANCE.overshoot + ALLOWANCE.slack)
+
+
 class TokenBucketTest(unittest.TestCase):
     """What a bucket lets through is what its rates allowed, however they change."""
 
