--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -30,6 +30,8 @@
 SUBJECTS = 12
 CRASHING_SHARE = 0.2
 LARGE_SHARE = 0.3
+ONE_SESSION = "f0"
+MAX_ADDED_TOKENS = 200
 MAX_THOUGHT_S = 0.3
 LONG_THOUGHT_SHARE = 0.05
 
@@ -63,6 +65,14 @@
 }
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Turn:
+    """The turn of a session that a prompt is."""
+
+    session: str
+    prompt_tokens: int
+
+
 class Callers:
     """The callers of a run.
 
@@ -208,7 +218,8 @@
             crash_cause=ask.crash_cause or self._draw_crashing_part(ask),
         )
         self._attempts.append(attempt)
-        connection.start(_render(ask, attempt, f"5b{self._part_rng.randrange(SUBJECTS)}"))
+        subject = f"5b{self._part_rng.randrange(SUBJECTS)}"
+        connection.start(_render(ask, attempt, subject, self._draw_turn(ask, attempt)))
         wait_s = deadline_s - attempt.sent_s + OVERDUE_S if leave_s is None else leave_s
         try:
             async with asyncio.timeout(wait_s):
@@ -219,6 +230,13 @@
         self._finish(attempt, connection.answer)
         return attempt
 
+    def _draw_turn(self, ask: Ask, attempt: Attempt) -> _Turn:
+        """Return the session of a prompt, and the length of this turn."""
+        if attempt.crash_cause not in self._crash_causes.one_session:
+            return _Turn(session=f"f{attempt.request_id}", prompt_tokens=ask.prompt_tokens)
+        added = self._part_rng.randrange(MAX_ADDED_TOKENS)
+        return _Turn(session=ONE_SESSION, prompt_tokens=ask.prompt_tokens + added)
+
     def _draw_large_prompt(self, ask: Ask) -> Ask:
         """Return a prompt that several engines serve, for some streams while these are wanted."""
         is_wanted = ask.kind == "stream" and self._wants_reservations()
@@ -279,7 +297,7 @@
         connection.close()
 
 
-def _render(ask: Ask, attempt: Attempt, subject: str) -> bytes:
+def _render(ask: Ask, attempt: Attempt, subject: str, turn: _Turn) -> bytes:
     method = "GET" if ask.kind == "safe" else "POST"
     remaining_ms = int((attempt.deadline_s - attempt.sent_s) * 1000)
     lines = [
@@ -290,9 +308,9 @@
         f"Authorization: Bearer {attempt.key}",
     ]
     if ask.kind == "stream":
-        lines.append(f"Token-Counts: {ask.prompt_tokens},{OUTPUT_TOKENS}")
+        lines.append(f"Token-Counts: {turn.prompt_tokens},{OUTPUT_TOKENS}")
         crashing_part = "" if ask.crash_cause else attempt.crash_cause
-        parts = ("5a", crashing_part, subject, f"f{attempt.request_id}")
+        parts = ("5a", crashing_part, subject, turn.session)
         lines.append("Prompt-Prefix: " + ",".join(f"{part}:40" for part in parts if part))
     if ask.kind == "safe":
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import signal
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
@@ -28,7 +29,9 @@
 REQUEST_KINDS = ("safe", "unsafe", "stream")
 MAX_EVENTS_BEFORE = 2
 UNREADABLE_VALUES = (b"[" * 100_000, b"\xff\xfe", b'{"slots": 1' + b"0" * 400 + b"}", b"7")
-LIMITS_PER_S = (b"0", b"0.5", b"1", b"1.2", b"3")
+LIMITS_PER_S = (0.0, 0.5, 1.0, 1.2, 3.0)
+# Of the limit, in each answer; the highest is the limit itself.
+LIMIT_SHARES = ((1.0,), (1.0, 0.97, 0.95, 0.98), (0.5, 1.0, 0.7))
 
 Action = Callable[[System, Fault], Awaitable[None]]
 
@@ -263,20 +266,29 @@
 async def _limit_target(system: System, fault: Fault) -> None:
     """Let a target limit its requests, and so each further run of it that starts meanwhile."""
     slot = system.slots[fault.subject]
-    limit = LIMITS_PER_S[int(fault.at_s * 100) % len(LIMITS_PER_S)]
+    limit_per_s = LIMITS_PER_S[int(fault.at_s * 100) % len(LIMITS_PER_S)]
+    shares = LIMIT_SHARES[int(fault.for_s * 100) % len(LIMIT_SHARES)]
     end_s = system.now_s + fault.for_s
     while system.now_s < end_s:
         if slot.target is not None:
-            await _limit_run(system, slot, limit, end_s)
+            await _limit_run(system, slot, limit_per_s, shares, end_s)
         await asyncio.sleep(RUN_CHECK_INTERVAL_S)
 
 
-async def _limit_run(system: System, slot: TargetSlot, limit: bytes, end_s: float) -> None:
+async def _limit_run(
+    system: System,
+    slot: TargetSlot,
+    limit_per_s: float,
+    shares: tuple[float, ...],
+    end_s: float,
+) -> None:
+    """Let a run of a target state a share of the limit in each answer, in turn."""
     target = slot.target
     assert target is not None
-    target.limit = limit
+    turn = itertools.cycle(shares)
+    target.limit = lambda: b"%.2f" % (limit_per_s * next(turn))
     stated = StatedLimit(
-        instance_id=target.instance_id, rate_per_s=float(limit), began_s=system.now_s
+        instance_id=target.instance_id, rate_per_s=limit_per_s, began_s=system.now_s
     )
     system.timeline.limits.append(stated)
     while slot.target is target and system.now_s < end_s:
@@ -286,7 +298,10 @@
 
 
 async def _crash_by_prompt(system: System, fault: Fault) -> None:
-    part = f"bad{int(fault.at_s * 100):x}"
+    number = int(fault.at_s * 100)
+    part = f"bad{number:x}"
+    if number % 2:
+        system.crash_causes.one_session.add(part)
     await _crash_by(system, fault, system.crash_causes.parts, part)
 
 
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -64,12 +64,14 @@
     Attributes:
         parts: Parts of prompts.
         paths: Paths of requests.
+        one_session: The parts whose prompts are turns of one session, each with a length of its own.
         events_before: The number of events of a stream that a target sends before it crashes, by
             part or path.
     """
 
     parts: set[str] = field(default_factory=set)
     paths: set[str] = field(default_factory=set)
+    one_session: set[str] = field(default_factory=set)
     events_before: dict[str, int] = field(default_factory=dict)
 
     def find(self, path: str, parts: list[str]) -> str:
