--- a/src/cicadatiller/entry/_limits.py
+++ b/src/cicadatiller/entry/_limits.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 
 from ..config import Workspace
-from ..kernel import ErrorKind, TokenBucket, fail
+from ..kernel import BucketRate, ErrorKind, TokenBucket, fail
 from ..peer import WorkspaceUse
 from ._usage_share import UsageShare
 
@@ -24,8 +24,8 @@
     def __init__(self, *, workspace: Workspace, entries: int, now_s: float) -> None:
         self._share = UsageShare(entries=entries, now_s=now_s)
         share = self._share.value(entries, now_s)
-        self._requests = TokenBucket(**_request_rate(workspace, share), now_s=now_s)
-        self._tokens = TokenBucket(**_token_rate(workspace, share), now_s=now_s)
+        self._requests = TokenBucket(rate=_request_rate(workspace, share), now_s=now_s)
+        self._tokens = TokenBucket(rate=_token_rate(workspace, share), now_s=now_s)
         self._open = 0
         self._limit = _concurrency(workspace, share)
         self._last_used_s = now_s
@@ -33,8 +33,8 @@
     def configure(self, workspace: Workspace, entries: int, now_s: float) -> None:
         """Apply this entry's share of the workspace's current limits."""
         share = self._share.value(entries, now_s)
-        self._requests.set_rate(**_request_rate(workspace, share), now_s=now_s)
-        self._tokens.set_rate(**_token_rate(workspace, share), now_s=now_s)
+        self._requests.set_rate(_request_rate(workspace, share), now_s)
+        self._tokens.set_rate(_token_rate(workspace, share), now_s)
         self._limit = _concurrency(workspace, share)
 
     def record_usage(self, use: WorkspaceUse, now_s: float) -> None:
@@ -84,16 +84,16 @@
             )
 
 
-def _request_rate(workspace: Workspace, share: float) -> dict[str, float]:
-    """Return the arguments of a token bucket for an entry's share of a workspace's requests."""
+def _request_rate(workspace: Workspace, share: float) -> BucketRate:
+    """Return the rate of a share of a workspace's requests."""
     rate_per_s = workspace.requests_per_s * share
-    return {"rate_per_s": rate_per_s, "burst": max(MIN_BURST_REQUESTS, rate_per_s * BURST_S)}
+    return BucketRate(rate_per_s=rate_per_s, burst=max(MIN_BURST_REQUESTS, rate_per_s * BURST_S))
 
 
-def _token_rate(workspace: Workspace, share: float) -> dict[str, float]:
+def _token_rate(workspace: Workspace, share: float) -> BucketRate:
     """Return the same for the tokens of its prompts."""
     rate_per_s = workspace.prompt_tokens_per_s * share
-    return {"rate_per_s": rate_per_s, "burst": max(1.0, rate_per_s * BURST_S)}
+    return BucketRate(rate_per_s=rate_per_s, burst=max(1.0, rate_per_s * BURST_S))
 
 
 def _concurrency(workspace: Workspace, share: float) -> int:
--- a/src/cicadatiller/fleet/_shared_rate.py
+++ b/src/cicadatiller/fleet/_shared_rate.py
@@ -6,7 +6,7 @@
 unknown, is left to them.
 """
 
-from ..kernel import TokenBucket
+from ..kernel import BucketRate, TokenBucket
 
 # Entries that send at the same moment exceed the rate; they make up for this much of it.
 MAX_AHEAD_S = 8.0
@@ -31,7 +31,7 @@
         self._rate_per_s = rate_per_s
         self._burst_s = burst_s
         self._connected_share = connected_share
-        self._bucket = TokenBucket(rate_per_s=self._own_per_s, burst=self._burst, now_s=now_s)
+        self._bucket = TokenBucket(rate=self._own_rate, now_s=now_s)
 
     def set_rate(self, rate_per_s: float, burst_s: float, now_s: float) -> None:
         """Change the rate; what was sent before still counts."""
@@ -58,19 +58,17 @@
         return now_s + self._bucket.wait_s(1, now_s)
 
     def _apply(self, now_s: float) -> None:
-        self._bucket.set_rate(self._own_per_s, self._burst, now_s)
+        self._bucket.set_rate(self._own_rate, now_s)
         self._bucket.limit_debt(self._max_debt)
 
     @property
-    def _own_per_s(self) -> float:
-        """Return the requests a second of the connected entries."""
-        return self._rate_per_s * self._connected_share
-
-    @property
-    def _burst(self) -> float:
-        return max(1.0, self._own_per_s * self._burst_s)
+    def _own_rate(self) -> BucketRate:
+        """Return the rate of the connected entries."""
+        rate_per_s = self._rate_per_s * self._connected_share
+        return BucketRate(rate_per_s=rate_per_s, burst=max(1.0, rate_per_s * self._burst_s))
 
     @property
     def _max_debt(self) -> float:
         """Return how much less than nothing is left at most, for entries that sent at once."""
-        return max(0.0, self._own_per_s * MAX_AHEAD_S - self._burst)
+        rate = self._own_rate
+        return max(0.0, rate.rate_per_s * MAX_AHEAD_S - rate.burst)
--- a/src/cicadatiller/kernel/__init__.py
+++ b/src/cicadatiller/kernel/__init__.py
@@ -45,7 +45,7 @@
 from ._stall import StallWatch
 from ._states import RequestState
 from ._stray import StrayAction, StrayResponse, log_stray
-from ._token_bucket import TokenBucket
+from ._token_bucket import BucketRate, TokenBucket
 from ._unreadable import UnreadableRecords
 
 __all__ = [
@@ -75,6 +75,7 @@
     "StallWatch",
     "SettingsError",
     "TaskSet",
+    "BucketRate",
     "TokenBucket",
     "UnreadableRecords",
     "above_zero",
--- a/tests/test_limit_properties.py
+++ b/tests/test_limit_properties.py
@@ -9,7 +9,7 @@
 
 from cicadatiller.cold_start import ColdAllowance
 from cicadatiller.fleet import ColdStart
-from cicadatiller.kernel import TokenBucket
+from cicadatiller.kernel import BucketRate, TokenBucket
 from cicadatiller.routes import Service
 
 from .support.limit_play import PLAY_S, STEP_S, LimitPlay, Need
@@ -145,7 +145,7 @@
     @given(CHANGES)
     def test_changes_of_the_rate_neither_forgive_nor_grant_anything(self, changes):
         now_s, allowed, taken = 0.0, 5.0, 0
-        bucket = TokenBucket(rate_per_s=1.0, burst=5.0, now_s=0.0)
+        bucket = TokenBucket(rate=BucketRate(rate_per_s=1.0, burst=5.0), now_s=0.0)
         rate_per_s = 1.0
         for next_per_s, elapsed_s, wanted in changes:
             now_s += elapsed_s
@@ -156,4 +156,4 @@
                     taken += 1
             self.assertLessEqual(taken, allowed + 0.01)
             rate_per_s = next_per_s
-            bucket.set_rate(rate_per_s, 5.0, now_s)
+            bucket.set_rate(BucketRate(rate_per_s=rate_per_s, burst=5.0), now_s)
