Evidence: a number beyond any range in the stored record ends no task

Rows are malformed by any arithmetic error now. Tests red before: a time beyond any range from a peer, and the record in the store.

--- a/src/cicadatiller/mesh/_evidence.py
+++ b/src/cicadatiller/mesh/_evidence.py
@@ -52,7 +52,7 @@
         return Evidence()
     try:
         return _to_evidence(rows)
-    except (TypeError, ValueError, IndexError, KeyError) as error:
+    except (ArithmeticError, LookupError, TypeError, ValueError) as error:
         return Evidence(problem=f"rows are malformed: {error!r}")
 
 
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -34,6 +34,8 @@
     "too many rows": [[], [], [CLEARED_ROW] * (MAX_ROWS + 1)],
     "no time": [[], [[*TRIPPED_ROW[:1], float("nan"), *TRIPPED_ROW[2:]]], []],
     "an endless time": [[], [], [["5c", float("inf")]]],
+    "a time beyond any range": [[], [], [["5c", 10**400]]],
+    "a count beyond any range": [[], [[*TRIPPED_ROW[:5], 10**400, 0]], []],
     "good rows beside a bad one": [[LOST_ROW], [TRIPPED_ROW], [["5c", None]]],
 }
 
--- a/tests/test_stored_evidence.py
+++ b/tests/test_stored_evidence.py
@@ -246,8 +246,11 @@
 
         self.assertIsNotNone(self.run_streams(scenario))
 
+    # A number of 400 digits ended the task that reads and writes evidence, again at each start.
     def test_records_of_other_writers_are_ignored_and_replaced(self):
-        for value in (b"\xff", b"[" * 5000, b"{}", b'{"rows": 7}', b'{"rows": [[[1]], 2, {}]}'):
+        huge = b'{"rows": [[], [], [["5c", ' + b"9" * 400 + b"]]]}"
+        odd = (b"\xff", b"[" * 5000, b"{}", b'{"rows": 7}', b'{"rows": [[[1]], 2, {}]}', huge)
+        for value in odd:
             with self.subTest(value[:20]):
 
                 async def scenario(fleet, value=value):
