--- a/bench/soak/answer_actions.py
+++ b/bench/soak/answer_actions.py
@@ -34,7 +34,7 @@
     return int(fault.at_s * 100) % count
 
 
-def _slots_beside(system: System, fault: Fault) -> list[TargetSlot]:
+def slots_beside(system: System, fault: Fault) -> list[TargetSlot]:
     """Return the places of all targets of the subject's service."""
     service = system.slots[fault.subject].service
     return [slot for slot in system.slots if slot.service == service]
@@ -88,7 +88,7 @@
 
 async def _repeat_refusals(system: System, fault: Fault) -> None:
     """Let all targets of a service refuse some requests at first, and repeat their refusals."""
-    slots = _slots_beside(system, fault)
+    slots = slots_beside(system, fault)
     copy_time = (CopyTime.WITH_NEXT, CopyTime.LATE)[_choose(fault, 2)]
     repeat = RepeatAnswers(copy_time=copy_time, only_refusals=True)
     with _behaving(slots, blamed=system.unused_address), _faulty(slots, repeat):
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
-from bench.soak.answer_actions import ANSWER_ACTIONS
+from bench.soak.answer_actions import ANSWER_ACTIONS, slots_beside
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
 from bench.soak.entries import DRAIN_S, EntryProcess
 from bench.soak.record import ColdTime, Disturbance, Evacuation, Shutdown, StatedLimit
@@ -30,8 +30,12 @@
 MAX_EVENTS_BEFORE = 2
 UNREADABLE_VALUES = (b"[" * 100_000, b"\xff\xfe", b'{"slots": 1' + b"0" * 400 + b"}", b"7")
 LIMITS_PER_S = (0.0, 0.5, 1.0, 1.2, 3.0)
+# Of limits that vary: low enough that callers want more, and above one request a second.
+VARYING_LIMITS_PER_S = (2.0, 3.0)
 # Of the limit, in each answer; the highest is the limit itself.
-LIMIT_SHARES = ((1.0,), (1.0, 0.97, 0.95, 0.98), (0.5, 1.0, 0.7))
+CONSTANT = (1.0,)
+ENGINES = "engines"
+LIMIT_SHARES = (CONSTANT, (1.0, 0.97, 0.95, 0.98), (0.7, 1.0, 0.8))
 
 Action = Callable[[System, Fault], Awaitable[None]]
 
@@ -264,11 +268,26 @@
 
 
 async def _limit_target(system: System, fault: Fault) -> None:
-    """Let a target limit its requests, and so each further run of it that starts meanwhile."""
+    """Let a target limit its requests; if its limit varies, all targets of a plain service.
+
+    Callers want more than these take, and one of several would get less than its limit anyway.
+    """
     slot = system.slots[fault.subject]
-    limit_per_s = LIMITS_PER_S[int(fault.at_s * 100) % len(LIMITS_PER_S)]
     shares = LIMIT_SHARES[int(fault.for_s * 100) % len(LIMIT_SHARES)]
     end_s = system.now_s + fault.for_s
+    if shares is CONSTANT:
+        limit_per_s = LIMITS_PER_S[int(fault.at_s * 100) % len(LIMITS_PER_S)]
+        await _limit_slot(system, slot, limit_per_s, shares, end_s)
+        return
+    limit_per_s = VARYING_LIMITS_PER_S[int(fault.at_s * 100) % len(VARYING_LIMITS_PER_S)]
+    slots = [slot] if slot.service == ENGINES else slots_beside(system, fault)
+    await asyncio.gather(*(_limit_slot(system, one, limit_per_s, shares, end_s) for one in slots))
+
+
+async def _limit_slot(
+    system: System, slot: TargetSlot, limit_per_s: float, shares: tuple[float, ...], end_s: float
+) -> None:
+    """Let each run of a target that is up until then limit its requests."""
     while system.now_s < end_s:
         if slot.target is not None:
             await _limit_run(system, slot, limit_per_s, shares, end_s)
