--- a/tests/support/evidence_play.py
+++ b/tests/support/evidence_play.py
@@ -1,4 +1,4 @@
-"""Entries that hear of each other's evidence, targets that end under a part of prompts, no network.
+"""Entries that hear of each other's evidence, targets that end under some requests, no network.
 
 Only the breakers, and what tells requests apart, are the product's own.
 """
@@ -46,6 +46,11 @@
     body: bytes
 
 
+ONE_REQUEST = Prompt(
+    workspace=WORKSPACES[0], parts=(COMMON, "5b0"), session="c0", tokens=1000, body=b"copy"
+)
+
+
 def describe_on_platform(prompt):
     """Return what tells a request from others on the platform's interface, and its fingerprints."""
     head = b"POST /stream/x HTTP/1.1\r\nHost: n\r\nContent-Length: %d\r\n\r\n" % len(prompt.body)
@@ -98,6 +103,8 @@
     """What callers send, and how targets and entries behave.
 
     Attributes:
+        is_one_request: Whether the crashing requests are copies of one, which sound ones resemble but
+            for what belongs to it, instead of requests with one part.
         crashing_sessions: The number of sessions whose turns have the part; 0 if each has its own.
         sound_sessions: The same of the sound requests.
         turns_of_subject: How many crashing requests in a row share a part of their own that
@@ -117,6 +124,7 @@
         seed: Seeds the rest.
     """
 
+    is_one_request: bool
     crashing_sessions: int
     sound_sessions: int
     turns_of_subject: int
@@ -140,7 +148,7 @@
     """A request on its way; `running_at` is the run of its target."""
 
     entry: int
-    prompt: Prompt
+    is_crashing: bool
     identity: str
     names: tuple[str, ...]
     at_s: float
@@ -149,10 +157,6 @@
     sent_s: float = 0.0
     running_at: str = ""
 
-    @property
-    def is_crashing(self):
-        return CRASHING in self.prompt.parts
-
 
 class EvidencePlay:
     """Plays a load on some entries.
@@ -162,8 +166,8 @@
         describe: Returns what tells a prompt's request from others, and its fingerprints.
 
     Attributes:
-        crashed_s: When targets ended under the part.
-        reached_s: When requests with the part reached targets.
+        crashed_s: When targets ended under crashing requests.
+        reached_s: When crashing requests reached targets.
         sound: When each sound request came, and whether it was sent on at once.
     """
 
@@ -194,11 +198,12 @@
 
     def _come(self, is_crashing, interval_s):
         self.at(self.now_s + interval_s, self._come, is_crashing, interval_s)
-        prompt = self._draw_prompt(is_crashing)
+        is_copy = is_crashing and self.load.is_one_request
+        prompt = ONE_REQUEST if is_copy else self._draw_prompt(is_crashing)
         identity, names = self.describe(prompt)
         sent = Sent(
             entry=self.rng.randrange(self.load.entries),
-            prompt=prompt,
+            is_crashing=is_crashing,
             identity=identity,
             names=names,
             at_s=self.now_s,
--- a/tests/test_evidence_properties.py
+++ b/tests/test_evidence_properties.py
@@ -1,4 +1,4 @@
-"""Properties of the evidence against parts of prompts; the users' rules say what has to hold."""
+"""Properties of the evidence against crashing requests; the users' rules say what has to hold."""
 
 import os
 import unittest
@@ -19,9 +19,11 @@
 from .support.known_red import known_red
 
 EXAMPLES = int(os.environ.get("N", "150"))
-# The users' rules: what may reach targets later than this after the fifth that ended, and the share
-# of the sound requests that are served at the first attempt once twice that has passed.
+# The users' rules: what may reach targets later than this after the fifth that ended, the third if it
+# is one request that comes again, and the share of the sound requests that are served at the first
+# attempt once twice that has passed.
 CRASHES_WITHOUT_LIMIT = 5
+CRASHES_OF_ONE_REQUEST = 3
 CONTACT_S = 3.0
 MAX_LATER_ARRIVALS = 3
 MIN_SOUND_SHARE = 0.5
@@ -29,6 +31,7 @@
 
 LOADS = st.builds(
     Load,
+    is_one_request=st.just(False),
     crashing_sessions=st.sampled_from((0, 1, 1, 2, 5)),
     sound_sessions=st.sampled_from((0, 1, 4)),
     turns_of_subject=st.sampled_from((0, 0, 2, 4)),
@@ -47,6 +50,7 @@
     seed=st.integers(0, 999),
 )
 ONE_SESSION = Load(
+    is_one_request=False,
     crashing_sessions=1,
     sound_sessions=0,
     turns_of_subject=0,
@@ -98,6 +102,11 @@
     delay_s=0.001,
     seed=2,
 )
+# Copies of one request.
+COPIES = st.builds(replace, LOADS, is_one_request=st.just(True), targets=st.integers(2, 16))
+ONE_TARGET = replace(
+    ONE_SESSION, is_one_request=True, targets=1, crashing_interval_s=2.0, restart_s=1.5
+)
 INTERFACES = {"platform": describe_on_platform, "own": describe_on_own_interface}
 PROMPTS = st.builds(
     Prompt,
@@ -109,14 +118,16 @@
 )
 
 
-class CrashingPartTest(unittest.TestCase):
+class EvidenceCase(unittest.TestCase):
+    crashes_without_limit = CRASHES_WITHOUT_LIMIT
+
     def check(self, load, interface):
         played = EvidencePlay(load, INTERFACES[interface])
         played.run()
-        if len(played.crashed_s) < CRASHES_WITHOUT_LIMIT:
+        if len(played.crashed_s) < self.crashes_without_limit:
             known_s = played.crashed_s[-1]
         else:
-            known_s = played.crashed_s[CRASHES_WITHOUT_LIMIT - 1]
+            known_s = played.crashed_s[self.crashes_without_limit - 1]
             later = [at_s for at_s in played.reached_s if at_s > known_s + CONTACT_S]
             self.assertLessEqual(len(later), MAX_LATER_ARRIVALS, played.crashed_s)
         self.assert_sound_are_served(played, known_s + 2 * CONTACT_S)
@@ -128,6 +139,8 @@
             share = MIN_SOUND_SHARE * sum(before) / len(before)
             self.assertGreaterEqual(sum(after) / len(after), share)
 
+
+class CrashingPartTest(EvidenceCase):
     @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
     @given(LOADS)
     @example(ONE_SESSION)
@@ -154,6 +167,25 @@
         self.assertGreater(played.sound[-1][0], PLAY_S - 2 * ONE_SESSION.sound_interval_s)
 
 
+class CrashingRequestTest(EvidenceCase):
+    crashes_without_limit = CRASHES_OF_ONE_REQUEST
+
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @given(COPIES)
+    def test_request_that_ended_three_targets_is_not_sent_on_the_platform(self, load):
+        self.check(load, "platform")
+
+    @settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @given(COPIES)
+    def test_request_that_ended_three_targets_is_not_sent_on_the_own_interface(self, load):
+        self.check(load, "own")
+
+    # Losses with the runs of one target never suffice, however many there are.
+    @known_red
+    def test_request_that_ended_three_runs_of_the_only_target_is_not_sent(self):
+        self.check(ONE_TARGET, "platform")
+
+
 class IdentityTest(unittest.TestCase):
     """A request is the same however often it comes, and another one if anything else differs."""
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+from functools import partial
 
 from .support.gateways import GatewayFleet, configuration, route
+from .support.known_red import known_red
 from .support.streams import NetworkCase
 
 LONG_PROMPT = (500_000, 400)
@@ -13,6 +15,9 @@
 HOLD_AFTER_USE_S = 4.0
 UNUSED_HOLD_S = 9.0
 HELD_STEP_S = 0.1
+RENEWED_AFTER_S = 1.4
+APPLIED_LATE_S = 6.0
+MAX_LATE_HOLD_S = 2.0
 
 
 def refuse_reserve_orders(order):
@@ -304,6 +309,31 @@
         self.assertLess(longest_s, 2.0)
         self.assertEqual(held, [])
 
+    # An order that is cut off does not count as one that may still be applied.
+    @known_red
+    def test_renewal_that_its_request_cut_off_is_released_once_it_is_applied_late(self):
+        async def scenario(fleet):
+            applied = []
+
+            def hang_and_apply_renewal(target, order):
+                is_renewal = ("reserve", order["id"]) in target.orders[:-1]
+                if order["operation"] != "reserve" or not is_renewal:
+                    return 200
+                applied.append(order["id"])
+                target.apply_reservation_later(order, APPLIED_LATE_S)
+                return "hang"
+
+            for target in fleet.targets.values():
+                target.work_s = 5.0
+                target.order_handler = partial(hang_and_apply_renewal, target)
+            await self.ask(fleet, disconnect_after_s=RENEWED_AFTER_S + 0.1)
+            await asyncio.sleep(APPLIED_LATE_S + MAX_LATE_HOLD_S)
+            return applied, self.held(fleet)
+
+        applied, held = self.run_scenario(scenario)
+        self.assertTrue(applied)
+        self.assertEqual(held, [])
+
     def test_reserve_order_without_response_is_retried(self):
         async def scenario(fleet):
             asked = []
