Soak: only the run of a target that registered as cold counts as cold

The target had registered as cold for 8.2 s, crashed 3.1 s later, started again under its id and registered as warm (cold_remaining_ms 0); its entries saw the new registration at 1796675805.08 and sent as to a warm one. The check went by the instance id and counted the new run.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,10 +6,12 @@
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 from bench.soak.checks import find_violations
 from bench.soak.configuration import MOVING_PATH, SPARE_KEY, TOGGLED_PATH, History
 from bench.soak.entries import Exit
+from bench.soak.faults import ACTIONS
 from bench.soak.play import RecoveryLoad, play
 from bench.soak.record import Crash, Disturbance, Shutdown, StatedLimit, Timeline
 from bench.soak.regressions import load_regressions
@@ -26,6 +28,8 @@
 from bench.soak.shrink import shrink
 from bench.soak.target_slots import LostOnLink
 from bench.soak.targets import IdleTicket
+from tests.support.gateways import ZONES
+from tests.support.paused_loop import PausedCase
 from tests.support.soak_observations import (
     STREAM,
     CheckCase,
@@ -42,6 +46,7 @@
 CI_LOAD_S = 12.0
 # On a busy machine the stand-ins stall as well; only the schedule's silences are to be judged.
 MAX_STALL_S = 0.25
+COLD_ZONE_S = 8.0
 
 
 class CheckTest(CheckCase):
@@ -279,6 +284,42 @@
         self.assert_kept(self.limited(5.0))
 
 
+class ColdZoneTest(PausedCase):
+    def cold_time(self, runs_s):
+        """Return for how long a target counts as cold that starts again after some time."""
+
+        async def run():
+            first, second = SimpleNamespace(instance_id="t0-1"), SimpleNamespace(instance_id="t0-1")
+            slot = SimpleNamespace(target=first, data_centre=ZONES[0], register=Mock())
+            loop = asyncio.get_running_loop()
+            system = LoopSystem(loop, [slot])
+            loop.call_later(runs_s, setattr, slot, "target", second)
+            fault = Fault(at_s=0.0, kind=FaultKind.ZONE_COLD, subject=0, for_s=COLD_ZONE_S)
+            await ACTIONS[FaultKind.ZONE_COLD](system, fault)
+            return system.timeline.cold[0]
+
+        cold = self.run_paused(run())
+        return cold.ended_s - cold.began_s
+
+    # A target that had started again, and registered as warm, was taken for cold (seed 22003).
+    def test_only_the_run_that_registered_as_cold_counts_as_cold(self):
+        self.assertAlmostEqual(self.cold_time(runs_s=3.0), 3.0, delta=0.1)
+        self.assertAlmostEqual(self.cold_time(runs_s=2 * COLD_ZONE_S), COLD_ZONE_S)
+
+
+class LoopSystem:
+    """A system without processes, on the clock of a loop."""
+
+    def __init__(self, loop, slots):
+        self.slots = slots
+        self.timeline = Timeline()
+        self._loop = loop
+
+    @property
+    def now_s(self):
+        return self._loop.time()
+
+
 class RecoveryTest(unittest.TestCase):
     def rules(self, seen):
         return [violation.rule for violation in find_violations(seen)]
