--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -11,11 +11,17 @@
 
 from .support.eras import EraCase
 from .support.gateways import ZONES, configuration
+from .support.known_red import known_red
+from .support.wire import TargetStandin
 
 RATE_PER_S = 32.0
 ALLOWANCE = ColdAllowance(overshoot=1.5, slack=5)
 # The users' rule: requests to one cold target in any second, from all entries.
 BOUND_PER_S = RATE_PER_S * ALLOWANCE.overshoot + ALLOWANCE.slack
+DOWN_S = 2.0
+COLD_MS = 3000
+# Later than the start of each target of a fleet.
+BORN_MS = 1_800_000_000_000
 LIMITS = ALLOWANCE.limits(Service(name="engines", cold_start_s=3.0, cold_rate_per_s=RATE_PER_S))
 
 
@@ -194,6 +200,35 @@
         self.assertLessEqual(most_in_a_second(cold), self.BOUND)
         self.assertGreater(len(warm), 2 * len(cold))
 
+    async def start_again(self, fleet, name):
+        """End a target's run and start the next one, cold, under its id; return when it began."""
+        ended = fleet.targets[name]
+        ended.stop()
+        await asyncio.sleep(DOWN_S)
+        target = TargetStandin(name, zone=ended.zone)
+        host, _, port = ended.address.partition(":")
+        await target.start(host, int(port))
+        fleet.targets[name] = target
+        born_ms = BORN_MS + round(1000 * fleet.loop.time())
+        fleet.register(target, cold_remaining_ms=COLD_MS, sequence=1, born=born_ms)
+        return fleet.loop.time()
+
+    # An entry whose dial finds the port open sends before it reads that a new run has begun.
+    @known_red
+    def test_target_that_starts_again_under_its_id_gets_no_more_than_it_tolerates(self):
+        async def scenario(fleet):
+            loading = asyncio.create_task(self.load(fleet, 22.0, per_entry=40))
+            most = []
+            for start in range(3):
+                await asyncio.sleep(2.0 + 0.23 * start)
+                since_s = await self.start_again(fleet, "t-1")
+                await asyncio.sleep(COLD_MS / 1000)
+                most.append(most_in_a_second(self.received(fleet, "t-1", since_s)))
+            await loading
+            return most
+
+        self.assertLessEqual(max(self.run_cold(scenario)), self.BOUND)
+
     def test_targets_of_a_data_centre_that_is_taken_back_count_as_cold(self):
         async def scenario(fleet):
             fleet.store.write("keyed.op", f"evacuate/{ZONES[0]}", {})
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from .support.gateways import SETTLE_S, ZONES, GatewayCase, configuration, route
+from .support.known_red import known_red
 from .support.unframed import UnframedTarget, events
 
 WHOLE_STREAM = (events(1, 5), "close")
@@ -94,6 +95,15 @@
                     self.assertEqual(len(requests), 2)
                     self.assertEqual([loss.fingerprints[:2] for loss in losses], lost)
 
+    # The end of a target's last connection is taken for the end of its stream.
+    @known_red
+    def test_stream_whose_target_crashes_after_an_event_goes_on_at_another_target(self):
+        answer = answer_first((events(1, 3), "crash"))
+        reply, requests, losses = self.ask("stream", answer, headers=[PARTS])
+        self.assertEqual([loss.fingerprints[:2] for loss in losses], [("5a", "5b")])
+        self.assertEqual({headers.get("last-event-id") for headers in requests}, {None, "3"})
+        self.assert_whole(reply)
+
     def test_rest_of_a_stream_may_be_empty(self):
         reply, requests, _ = self.ask(
             "stream", lambda headers, number: ([], "close"), headers=[(b"Last-Event-Id", b"5")]
