--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -9,9 +9,11 @@
 from cicadatiller.mesh import compact
 
 from .support.gateways import GatewayCase, configuration, route
+from .support.known_red import known_red
 
 BORN_MS = 1_700_000_000_000
 BURST = 12
+DRAIN_S = 3.0
 # Of compact updates before they had `leaving`.
 OLDER_FIELD_COUNT = 9
 LONG_PROMPT = (500_000, 400)
@@ -115,6 +117,27 @@
         self.assertGreater(self.check_no_request_after(later), 0)
 
 
+class ClockTest(LeavingCase):
+    """The clock of a target's machine is set back between two of its starts."""
+
+    # Whatever the run registers that began by an earlier time of day is taken for written late.
+    @known_red
+    def test_run_that_began_by_an_earlier_time_of_day_gets_nothing_once_it_leaves(self):
+        async def scenario(fleet):
+            target = fleet.targets["t-1"]
+            fleet.register(target, born=BORN_MS, sequence=1)
+            await asyncio.sleep(1.4)
+            fleet.register(target, born=BORN_MS - 600, sequence=1)
+            await asyncio.sleep(12.0)
+            fleet.register(target, born=BORN_MS - 600, sequence=2, state="draining")
+            await asyncio.sleep(DRAIN_S)
+            return await self.received_in_burst(fleet, target)
+
+        replies, received = self.run_scenario(scenario, entries=2, targets=("pool",) * 3)
+        self.assert_served(replies)
+        self.assertEqual(received, 0)
+
+
 class LearningTest(LeavingCase):
     def check_target_gets_nothing_after_its_first_response(self, kind, prepare, *, service):
         async def scenario(fleet):
