--- a/bench/soak/answer_actions.py
+++ b/bench/soak/answer_actions.py
@@ -26,12 +26,7 @@
     WrongRest(body=b"", is_signed=True),
     WrongRest(body=b"", is_signed=False),
 )
-MAX_EVENTS_BEFORE = 3
-
-
-def _choose(fault: Fault, count: int) -> int:
-    """Return a number below `count` that the schedule determines."""
-    return int(fault.at_s * 100) % count
+EVENTS_BEFORE = (1, 2, 3)
 
 
 def slots_beside(system: System, fault: Fault) -> list[TargetSlot]:
@@ -81,7 +76,7 @@
 async def _repeat_answers(system: System, fault: Fault) -> None:
     """Let all targets repeat answers while callers send more prompts that need reservations."""
     slots = system.slots
-    copy_time = tuple(CopyTime)[_choose(fault, len(CopyTime))]
+    copy_time = fault.choose(tuple(CopyTime))
     with _behaving(slots, has_little_room=True), _faulty(slots, RepeatAnswers(copy_time=copy_time)):
         await asyncio.sleep(fault.for_s)
 
@@ -89,14 +84,14 @@
 async def _repeat_refusals(system: System, fault: Fault) -> None:
     """Let all targets of a service refuse some requests at first, and repeat their refusals."""
     slots = slots_beside(system, fault)
-    copy_time = (CopyTime.WITH_NEXT, CopyTime.LATE)[_choose(fault, 2)]
+    copy_time = fault.choose((CopyTime.WITH_NEXT, CopyTime.LATE))
     repeat = RepeatAnswers(copy_time=copy_time, only_refusals=True)
     with _behaving(slots, blamed=system.unused_address), _faulty(slots, repeat):
         await asyncio.sleep(fault.for_s)
 
 
 async def _cut_heads(system: System, fault: Fault) -> None:
-    await _spoil(system, fault, CutHeads(resets=bool(_choose(fault, 2))))
+    await _spoil(system, fault, CutHeads(resets=fault.choose((False, True))))
 
 
 async def _drop_ids(system: System, fault: Fault) -> None:
@@ -121,8 +116,8 @@
     engines = [slot for slot in system.slots if slot.service == "engines"]
     slots = [engines[fault.subject % len(engines)]]
     endless = EndlessAnswer(
-        block=ENDLESS_BLOCKS[_choose(fault, len(ENDLESS_BLOCKS))],
-        only_resumed=bool(_choose(fault, 3) == 0),
+        block=fault.choose(ENDLESS_BLOCKS),
+        only_resumed=fault.choose((True, False, False)),
     )
     time = Disturbance(began_s=system.now_s)
     system.timeline.endless.append(time)
@@ -137,8 +132,8 @@
     """Let an engine break off streams, and all engines answer a resumed one with no rest of it."""
     engines = [slot for slot in system.slots if slot.service == "engines"]
     breaking = [engines[fault.subject % len(engines)]]
-    rest = WRONG_RESTS[_choose(fault, len(WRONG_RESTS))]
-    breaks_after = 1 + _choose(fault, MAX_EVENTS_BEFORE)
+    rest = fault.choose(WRONG_RESTS)
+    breaks_after = fault.choose(EVENTS_BEFORE)
     with (
         _unsound(system, engines),
         _behaving(engines, wrong_rest=rest),
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -2,19 +2,18 @@
 
 import asyncio
 import contextlib
-import itertools
 import signal
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
-from bench.soak.answer_actions import ANSWER_ACTIONS, slots_beside
+from bench.soak.answer_actions import ANSWER_ACTIONS
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
 from bench.soak.entries import DRAIN_S, EntryProcess
-from bench.soak.record import ColdTime, Disturbance, Evacuation, Shutdown, StatedLimit
+from bench.soak.need_actions import NEED_ACTIONS
+from bench.soak.record import Disturbance, Evacuation, Shutdown
 from bench.soak.relay import Direction, Relay
 from bench.soak.schedule import Fault, FaultKind
 from bench.soak.system import System
-from bench.soak.target_slots import TargetSlot
 from tests.support.gateways import ZONES
 
 LINK_DELAY_S = 0.7
@@ -23,19 +22,8 @@
 # How long the registration of a crashed target stays, and its address is not used again.
 REGISTRATION_S = 3.0
 REUSE_S = 2.0
-# How soon a fault of a target is carried over to its next run.
-RUN_CHECK_INTERVAL_S = 0.02
 REFUSED = 503
-REQUEST_KINDS = ("safe", "unsafe", "stream")
-MAX_EVENTS_BEFORE = 2
 UNREADABLE_VALUES = (b"[" * 100_000, b"\xff\xfe", b'{"slots": 1' + b"0" * 400 + b"}", b"7")
-LIMITS_PER_S = (0.0, 0.5, 1.0, 1.2, 3.0)
-# Of limits that vary: low enough that callers want more, and above one request a second.
-VARYING_LIMITS_PER_S = (2.0, 3.0)
-# Of the limit, in each answer; the highest is the limit itself.
-CONSTANT = (1.0,)
-ENGINES = "engines"
-LIMIT_SHARES = (CONSTANT, (1.0, 0.97, 0.95, 0.98), (0.7, 1.0, 0.8))
 
 Action = Callable[[System, Fault], Awaitable[None]]
 
@@ -267,79 +255,6 @@
         await _script_target(system, fault, "lose")
 
 
-async def _limit_target(system: System, fault: Fault) -> None:
-    """Let a target limit its requests; if its limit varies, all targets of a plain service.
-
-    Callers want more than these take, and one of several would get less than its limit anyway.
-    """
-    slot = system.slots[fault.subject]
-    shares = LIMIT_SHARES[int(fault.for_s * 100) % len(LIMIT_SHARES)]
-    end_s = system.now_s + fault.for_s
-    if shares is CONSTANT:
-        limit_per_s = LIMITS_PER_S[int(fault.at_s * 100) % len(LIMITS_PER_S)]
-        await _limit_slot(system, slot, limit_per_s, shares, end_s)
-        return
-    limit_per_s = VARYING_LIMITS_PER_S[int(fault.at_s * 100) % len(VARYING_LIMITS_PER_S)]
-    slots = [slot] if slot.service == ENGINES else slots_beside(system, fault)
-    await asyncio.gather(*(_limit_slot(system, one, limit_per_s, shares, end_s) for one in slots))
-
-
-async def _limit_slot(
-    system: System, slot: TargetSlot, limit_per_s: float, shares: tuple[float, ...], end_s: float
-) -> None:
-    """Let each run of a target that is up until then limit its requests."""
-    while system.now_s < end_s:
-        if slot.target is not None:
-            await _limit_run(system, slot, limit_per_s, shares, end_s)
-        await asyncio.sleep(RUN_CHECK_INTERVAL_S)
-
-
-async def _limit_run(
-    system: System,
-    slot: TargetSlot,
-    limit_per_s: float,
-    shares: tuple[float, ...],
-    end_s: float,
-) -> None:
-    """Let a run of a target state a share of the limit in each answer, in turn."""
-    target = slot.target
-    assert target is not None
-    turn = itertools.cycle(shares)
-    target.limit = lambda: b"%.2f" % (limit_per_s * next(turn))
-    stated = StatedLimit(
-        instance_id=target.instance_id, rate_per_s=limit_per_s, began_s=system.now_s
-    )
-    system.timeline.limits.append(stated)
-    while slot.target is target and system.now_s < end_s:
-        await asyncio.sleep(RUN_CHECK_INTERVAL_S)
-    target.limit = None
-    stated.ended_s = system.now_s
-
-
-async def _crash_by_prompt(system: System, fault: Fault) -> None:
-    number = int(fault.at_s * 100)
-    part = f"bad{number:x}"
-    if number % 2:
-        system.crash_causes.one_session.add(part)
-    await _crash_by(system, fault, system.crash_causes.parts, part)
-
-
-async def _crash_by_request(system: System, fault: Fault) -> None:
-    number = int(fault.at_s * 100)
-    kind = REQUEST_KINDS[number % len(REQUEST_KINDS)]
-    await _crash_by(system, fault, system.crash_causes.paths, f"/{kind}/bad{number:x}")
-
-
-async def _crash_by(system: System, fault: Fault, causes: set[str], cause: str) -> None:
-    """Let targets crash for a time, some of them before any event of a stream."""
-    system.crash_causes.events_before[cause] = int(fault.for_s * 100) % (1 + MAX_EVENTS_BEFORE)
-    causes.add(cause)
-    await asyncio.sleep(fault.for_s)
-    causes.discard(cause)
-    for slot in system.slots:
-        await slot.wait_for_restarts()
-
-
 async def _move_route(system: System, fault: Fault) -> None:
     moved = SERVICES[system.history.newest.moving_service == SERVICES[0]]
     system.change_configuration(moving_service=moved)
@@ -372,29 +287,9 @@
     system.publish_evacuation(evacuation.data_centre)
 
 
-async def _turn_zone_cold(system: System, fault: Fault) -> None:
-    slots = [slot for slot in system.slots if slot.data_centre == ZONES[fault.subject]]
-    await asyncio.gather(*(_turn_slot_cold(system, slot, fault.for_s) for slot in slots))
-
-
-async def _turn_slot_cold(system: System, slot: TargetSlot, for_s: float) -> None:
-    """Let the run of a target that is up register as cold; another run says for itself."""
-    target = slot.target
-    if target is None:
-        return
-    slot.register(cold_remaining_ms=round(for_s * 1000))
-    cold = ColdTime(
-        instance_id=target.instance_id, began_s=system.now_s, ended_s=system.now_s + for_s
-    )
-    system.timeline.cold.append(cold)
-    while slot.target is target and system.now_s < cold.ended_s:
-        await asyncio.sleep(RUN_CHECK_INTERVAL_S)
-    cold.ended_s = min(cold.ended_s, system.now_s)
-
-
 async def _write_unreadable(system: System, fault: Fault) -> None:
-    value = UNREADABLE_VALUES[int(fault.at_s * 100) % len(UNREADABLE_VALUES)]
-    name = f"0-{int(fault.at_s * 100):x}"
+    value = fault.choose(UNREADABLE_VALUES)
+    name = f"0-{fault.number:x}"
     system.store.write("keyed.servers", name, value)
     await asyncio.sleep(fault.for_s)
     system.store.write("keyed.servers", name, None)
@@ -428,10 +323,8 @@
     FaultKind.TARGET_GARBLE: _garble_target,
     FaultKind.TARGET_REFUSES: _refuse_requests,
     FaultKind.TARGET_LOSES_ANSWERS: _lose_answers,
-    FaultKind.TARGET_LIMIT: _limit_target,
     **ANSWER_ACTIONS,
-    FaultKind.PROMPT_CRASH: _crash_by_prompt,
-    FaultKind.REQUEST_CRASH: _crash_by_request,
+    **NEED_ACTIONS,
     FaultKind.ROUTE_MOVE: _move_route,
     FaultKind.ROUTE_TOGGLE: _toggle_route,
     FaultKind.TIMEOUT_CHANGE: _change_timeout,
@@ -439,5 +332,4 @@
     FaultKind.KEY_TOGGLE: _toggle_key,
     FaultKind.ZONE_EVACUATE: _evacuate_zone,
     FaultKind.STORE_UNREADABLE: _write_unreadable,
-    FaultKind.ZONE_COLD: _turn_zone_cold,
 }
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -2,8 +2,10 @@
 
 import enum
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import TypeVar
 
 import cattrs
 import orjson
@@ -23,6 +25,8 @@
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 3.0
 
+Option = TypeVar("Option")
+
 
 class FaultKind(enum.Enum):
     """What a fault does; `Fault.subject` is an entry, a target or nothing."""
@@ -126,6 +130,19 @@
     subject: int
     for_s: float
 
+    @property
+    def number(self) -> int:
+        """Return a number that the begin determines, for what the schedule leaves open."""
+        return int(self.at_s * 100)
+
+    def choose(self, options: Sequence[Option]) -> Option:
+        """Return the option that the begin determines."""
+        return options[self.number % len(options)]
+
+    def choose_by_duration(self, options: Sequence[Option]) -> Option:
+        """Return the option that the duration determines."""
+        return options[int(self.for_s * 100) % len(options)]
+
 
 @dataclass(frozen=True, kw_only=True)
 class Deployment:
