Soak: a limit counts from the first answer that names it and its request

All answers of the target to requests bore no id until 16.93 s; it named its limit from 11.45 s on. No entry passed such an answer on or believed it; the first that bore an id came at 17.17 s, and all four entries kept to the limit from then (log line 408 at each within 0.01 s, 9 requests in the 3 s after). What the check counted was sent before. So the time begins with the first answer that bears an id; for all other targets the check is as it was. tests.test_soak.CheckTest.test_limit_counts_from_the_first_answer_that_names_it_and_its_request fails without it.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -27,7 +27,7 @@
     RECOVERY_LOAD_S,
     Observations,
 )
-from bench.soak.record import Attempt, ColdTime, StatedLimit
+from bench.soak.record import Attempt, ColdTime, StatedLimit, Timeline
 from bench.soak.targets import Arrival
 from bench.soak.violations import Violation, describe, violation_of
 from tests.support.gateways import ZONES
@@ -176,7 +176,8 @@
     """In no second does a cold target get more requests than it tolerates."""
     allowed = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
     for cold in seen.timeline.cold:
-        times_s = [one.at_s for one in _arrivals_in_touch(seen, cold) if one.has_matched]
+        arrivals = _arrivals_in_touch(seen, cold, cold.began_s)
+        times_s = [one.at_s for one in arrivals if one.has_matched]
         excess = _find_excess(times_s, window_s=1.0, allowed=allowed)
         if excess is not None:
             text = f"{excess.count} requests in a second, allowed {allowed:.0f}: {cold}"
@@ -209,7 +210,8 @@
 def check_limits(seen: Observations) -> Iterator[Violation]:
     """Targets get little more requests than the rate that they state, from all entries together."""
     for limit in seen.timeline.limits:
-        times_s = [one.at_s for one in _arrivals_in_touch(seen, limit)]
+        named_s = _first_named_s(seen.timeline, limit)
+        times_s = [one.at_s for one in _arrivals_in_touch(seen, limit, named_s)]
         allowed = LIMIT_EXCESS * LIMIT_WINDOW_S * limit.rate_per_s + LIMIT_SLACK
         excess = _find_excess(times_s, window_s=LIMIT_WINDOW_S, allowed=allowed)
         if excess is not None:
@@ -225,10 +227,24 @@
     count: int
 
 
-def _arrivals_in_touch(seen: Observations, limit: ColdTime | StatedLimit) -> list[Arrival]:
+def _first_named_s(timeline: Timeline, limit: StatedLimit) -> float:
+    """Return when a target first named its limit in answers that bear the ids of their requests.
+
+    Others are no answers to these requests, so entries pass none on and believe none.
+    """
+    named_s = limit.began_s
+    for unnamed in sorted(timeline.unnamed, key=lambda one: one.began_s):
+        if unnamed.target == limit.target and unnamed.began_s <= named_s:
+            named_s = max(named_s, unnamed.ended_s)
+    return named_s
+
+
+def _arrivals_in_touch(
+    seen: Observations, limit: ColdTime | StatedLimit, named_s: float
+) -> list[Arrival]:
     """Return what reached a limited target, once undisturbed entries had to know of the limit."""
     by_id = {attempt.request_id: attempt for attempt in seen.attempts}
-    begin_s = limit.began_s + CONTACT_S + MACHINE_SLACK_S
+    begin_s = named_s + CONTACT_S + MACHINE_SLACK_S
     return [
         arrival
         for arrival in seen.arrivals
--- a/bench/soak/need_actions.py
+++ b/bench/soak/need_actions.py
@@ -63,7 +63,10 @@
     turn = itertools.cycle(shares)
     target.limit = lambda: b"%.2f" % (limit_per_s * next(turn))
     stated = StatedLimit(
-        instance_id=target.instance_id, rate_per_s=limit_per_s, began_s=system.now_s
+        instance_id=target.instance_id,
+        target=slot.number,
+        rate_per_s=limit_per_s,
+        began_s=system.now_s,
     )
     system.timeline.limits.append(stated)
     while slot.target is target and system.now_s < end_s:
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -97,6 +97,7 @@
     """The time for which a target states the requests a second that it takes."""
 
     instance_id: str
+    target: int
     rate_per_s: float
     began_s: float
     ended_s: float = NEVER_S
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,14 @@
 from bench.soak.entries import Exit
 from bench.soak.faults import ACTIONS
 from bench.soak.play import RecoveryLoad, play
-from bench.soak.record import Crash, Disturbance, Shutdown, StatedLimit, Timeline
+from bench.soak.record import (
+    Crash,
+    Disturbance,
+    Shutdown,
+    StatedLimit,
+    Timeline,
+    UnnamedTime,
+)
 from bench.soak.regressions import load_regressions
 from bench.soak.schedule import (
     ANSWER_FAULTS,
@@ -269,9 +276,9 @@
                 seen.timeline.endless.append(Disturbance(began_s=99.0, ended_s=102.0))
                 self.assertEqual(self.rules(seen), rules)
 
-    def limited(self, rate_per_s):
-        timeline = Timeline()
-        limit = StatedLimit(instance_id="t0-1", rate_per_s=rate_per_s, began_s=90.0)
+    def limited(self, rate_per_s, unnamed=()):
+        timeline = Timeline(unnamed=list(unnamed))
+        limit = StatedLimit(instance_id="t0-1", target=0, rate_per_s=rate_per_s, began_s=90.0)
         timeline.limits.append(limit)
         attempts = [
             attempt(request_id=f"a{n}", sent_s=95.0 + n / 10, body=b"answer to a%d" % n)
@@ -283,6 +290,19 @@
         self.assert_broken("limit", self.limited(1.0))
         self.assert_kept(self.limited(5.0))
 
+    # Seed 22009: until its answers bore ids again, none of them could be passed on.
+    def test_limit_counts_from_the_first_answer_that_names_it_and_its_request(self):
+        for began_s, ended_s, target, is_allowed in (
+            (89.0, 94.0, 0, True),
+            (89.0, 94.0, 1, False),
+            (80.0, 89.0, 0, False),
+            (91.0, 94.0, 0, False),
+        ):
+            with self.subTest(began_s=began_s, ended_s=ended_s, target=target):
+                unnamed = UnnamedTime(target=target, began_s=began_s, ended_s=ended_s)
+                seen = self.limited(1.0, [unnamed])
+                self.assertEqual("limit" not in self.rules(seen), is_allowed)
+
 
 class ColdZoneTest(PausedCase):
     def cold_time(self, runs_s):
