--- a/bench/soak/answer_actions.py
+++ b/bench/soak/answer_actions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 from bench.soak.answer_faults import (
@@ -15,7 +15,7 @@
 )
 from bench.soak.record import Disturbance, UnnamedTime
 from bench.soak.schedule import Fault, FaultKind
-from bench.soak.system import System
+from bench.soak.system import Action, System
 from bench.soak.target_slots import TargetSlot
 from bench.soak.targets import ENDLESS_BLOCKS, EndlessAnswer, Manner, WrongRest
 
@@ -142,7 +142,7 @@
         await asyncio.sleep(fault.for_s)
 
 
-ANSWER_ACTIONS: dict[FaultKind, Callable[[System, Fault], Awaitable[None]]] = {
+ANSWER_ACTIONS: dict[FaultKind, Action] = {
     FaultKind.TARGET_REPEATS_ANSWERS: _repeat_answers,
     FaultKind.TARGET_REPEATS_REFUSALS: _repeat_refusals,
     FaultKind.TARGET_CUTS_HEADS: _cut_heads,
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -210,8 +210,8 @@
 def check_limits(seen: Observations) -> Iterator[Violation]:
     """Targets get little more requests than the rate that they state, from all entries together."""
     for limit in seen.timeline.limits:
-        named_s = _first_named_s(seen.timeline, limit)
-        times_s = [one.at_s for one in _arrivals_in_touch(seen, limit, named_s)]
+        stated_s = _first_stated_s(seen.timeline, limit)
+        times_s = [one.at_s for one in _arrivals_in_touch(seen, limit, stated_s)]
         allowed = LIMIT_EXCESS * LIMIT_WINDOW_S * limit.rate_per_s + LIMIT_SLACK
         excess = _find_excess(times_s, window_s=LIMIT_WINDOW_S, allowed=allowed)
         if excess is not None:
@@ -227,24 +227,24 @@
     count: int
 
 
-def _first_named_s(timeline: Timeline, limit: StatedLimit) -> float:
-    """Return when a target first named its limit in answers that bear the ids of their requests.
+def _first_stated_s(timeline: Timeline, limit: StatedLimit) -> float:
+    """Return when a target first stated its limit in answers that bear the ids of their requests.
 
     Others are no answers to these requests, so entries pass none on and believe none.
     """
-    named_s = limit.began_s
+    stated_s = limit.began_s
     for unnamed in sorted(timeline.unnamed, key=lambda one: one.began_s):
-        if unnamed.target == limit.target and unnamed.began_s <= named_s:
-            named_s = max(named_s, unnamed.ended_s)
-    return named_s
+        if unnamed.target == limit.target and unnamed.began_s <= stated_s:
+            stated_s = max(stated_s, unnamed.ended_s)
+    return stated_s
 
 
 def _arrivals_in_touch(
-    seen: Observations, limit: ColdTime | StatedLimit, named_s: float
+    seen: Observations, limit: ColdTime | StatedLimit, stated_s: float
 ) -> list[Arrival]:
     """Return what reached a limited target, once undisturbed entries had to know of the limit."""
     by_id = {attempt.request_id: attempt for attempt in seen.attempts}
-    begin_s = named_s + CONTACT_S + MACHINE_SLACK_S
+    begin_s = stated_s + CONTACT_S + MACHINE_SLACK_S
     return [
         arrival
         for arrival in seen.arrivals
--- a/bench/soak/need_actions.py
+++ b/bench/soak/degraded_actions.py
@@ -1,18 +1,18 @@
-"""Carries out the faults of targets in need: stated limits, what crashes them, cold targets."""
+"""Carries out the faults of degraded targets: limits that they state, what crashes them, cold starts."""
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
 
 from bench.soak.answer_actions import slots_beside
 from bench.soak.record import ColdTime, StatedLimit
 from bench.soak.schedule import Fault, FaultKind
-from bench.soak.system import System
+from bench.soak.system import Action, System
 from bench.soak.target_slots import TargetSlot
 from tests.support.gateways import ZONES
 
 # How soon a fault of a target is carried over to its next run.
 RUN_CHECK_INTERVAL_S = 0.02
+ENGINES = "engines"
 REQUEST_KINDS = ("safe", "unsafe", "stream")
 EVENTS_BEFORE = (0, 1, 2)
 LIMITS_PER_S = (0.0, 0.5, 1.0, 1.2, 3.0)
@@ -20,7 +20,6 @@
 VARYING_LIMITS_PER_S = (2.0, 3.0)
 # Of the limit, in each answer; the highest is the limit itself.
 CONSTANT = (1.0,)
-ENGINES = "engines"
 LIMIT_SHARES = (CONSTANT, (1.0, 0.97, 0.95, 0.98), (0.7, 1.0, 0.8))
 
 
@@ -77,7 +76,7 @@
 
 async def _crash_by_prompt(system: System, fault: Fault) -> None:
     part = f"bad{fault.number:x}"
-    if fault.number % 2:
+    if fault.choose((False, True)):
         system.crash_causes.one_session.add(part)
     await _crash_by(system, fault, system.crash_causes.parts, part)
 
@@ -117,7 +116,7 @@
     cold.ended_s = min(cold.ended_s, system.now_s)
 
 
-NEED_ACTIONS: dict[FaultKind, Callable[[System, Fault], Awaitable[None]]] = {
+DEGRADED_ACTIONS: dict[FaultKind, Action] = {
     FaultKind.TARGET_LIMIT: _limit_target,
     FaultKind.PROMPT_CRASH: _crash_by_prompt,
     FaultKind.REQUEST_CRASH: _crash_by_request,
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,17 +3,17 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
 
 from bench.soak.answer_actions import ANSWER_ACTIONS
 from bench.soak.configuration import IDLE_LIMITS_MS, SERVICES, TIMEOUTS_MS
+from bench.soak.degraded_actions import DEGRADED_ACTIONS
 from bench.soak.entries import DRAIN_S, EntryProcess
-from bench.soak.need_actions import NEED_ACTIONS
 from bench.soak.record import Disturbance, Evacuation, Shutdown
 from bench.soak.relay import Direction, Relay
 from bench.soak.schedule import Fault, FaultKind
-from bench.soak.system import System
+from bench.soak.system import Action, System
 from tests.support.gateways import ZONES
 
 LINK_DELAY_S = 0.7
@@ -25,8 +25,6 @@
 REFUSED = 503
 UNREADABLE_VALUES = (b"[" * 100_000, b"\xff\xfe", b'{"slots": 1' + b"0" * 400 + b"}", b"7")
 
-Action = Callable[[System, Fault], Awaitable[None]]
-
 
 async def carry_out(system: System, faults: tuple[Fault, ...]) -> None:
     """Carry out faults, each at its time."""
@@ -324,7 +322,7 @@
     FaultKind.TARGET_REFUSES: _refuse_requests,
     FaultKind.TARGET_LOSES_ANSWERS: _lose_answers,
     **ANSWER_ACTIONS,
-    **NEED_ACTIONS,
+    **DEGRADED_ACTIONS,
     FaultKind.ROUTE_MOVE: _move_route,
     FaultKind.ROUTE_TOGGLE: _toggle_route,
     FaultKind.TIMEOUT_CHANGE: _change_timeout,
--- a/bench/soak/system.py
+++ b/bench/soak/system.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from bench.soak.answer_faults import RepeatAnswers
@@ -9,7 +10,7 @@
 from bench.soak.entries import EntryProcess
 from bench.soak.record import NEVER_S, CrashCauses, Timeline, UnheldTicket
 from bench.soak.relay import Relay
-from bench.soak.schedule import Deployment
+from bench.soak.schedule import Deployment, Fault
 from bench.soak.store import SoakStore
 from bench.soak.target_slots import LostOnLink, TargetSlot
 from bench.soak.targets import Arrival, IdleTicket, SoakTarget
@@ -201,3 +202,7 @@
 def _address_prefix() -> str:
     pid = os.getpid()
     return f"127.{FIRST_NETWORK + pid // HOSTS % NETWORKS}.{1 + pid % HOSTS}"
+
+
+# Carries out a fault, to its end.
+Action = Callable[[System, Fault], Awaitable[None]]
--- a/src/cicadatiller/fleet/_losses.py
+++ b/src/cicadatiller/fleet/_losses.py
@@ -197,9 +197,9 @@
         """Return the targets that ended under other fingerprints, each with these.
 
         The losses of a narrower fingerprint are the wider one's, too, unless requests with the wider
-        one finished lately. A part is narrower than another one with which all its requests were
-        lost, as what turns of one session share is beside what they share with other sessions, but
-        not than one that may be sound.
+        one finished lately. A part is also narrower than one that all its lost requests had: the
+        turns of a session share both, other sessions only the wider one. That does not hold against
+        a fingerprint that may be sound.
 
         A single request that was lost with all targets that ended under another one, and with
         more, is the likelier cause of both, so its losses are not explained by that one.
--- a/src/cicadatiller/fleet/_stated_rate.py
+++ b/src/cicadatiller/fleet/_stated_rate.py
@@ -1,4 +1,4 @@
-"""The rate of requests that a target states in its responses, while it is in need."""
+"""The rate of requests that a target states in its responses, while it is overloaded."""
 
 import math
 
@@ -8,7 +8,7 @@
 BURST_S = 1.0
 # A lower rate counts as this: a request shows whether the target still states it.
 MIN_RATE_PER_S = 0.1
-# Not each response of a target in need may state its rate, so it holds for this time at least.
+# Some responses of an overloaded target may lack its rate, so it holds for this time at least.
 HOLD_S = 1.0
 # Until all entries know of a limit, some send as before; that is not made up for.
 NEWS_S = 0.5
@@ -31,11 +31,11 @@
         "_began_s",
         "_changed_s",
         "_connected_share",
-        "_named_s",
-        "_none_s",
         "_shared",
+        "_stated_s",
         "_told_per_s",
         "_told_s",
+        "_unstated_s",
         "rate_per_s",
     )
 
@@ -43,8 +43,8 @@
         self.rate_per_s = math.inf
         self._shared: SharedRate | None = None
         self._connected_share = 1.0
-        # When the target stated a rate last, when it stated none, and when the rate changed.
-        self._named_s = self._none_s = self._changed_s = -math.inf
+        # When the target last stated a rate, when it last stated none, and when the rate changed.
+        self._stated_s = self._unstated_s = self._changed_s = -math.inf
         # When the limit began that is in force.
         self._began_s = -math.inf
         self._told_per_s, self._told_s = math.inf, -math.inf
@@ -56,7 +56,7 @@
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the target stated the rate last."""
-        stated_s = self._named_s if self.is_limited else self._none_s
+        stated_s = self._stated_s if self.is_limited else self._unstated_s
         return max(0.0, now_s - stated_s)
 
     def record(self, rate_per_s: float, now_s: float, *, sent_s: float = math.inf) -> bool:
@@ -81,19 +81,19 @@
                 changes nothing, as news of several entries overtake each other.
             now_s: The loop time.
         """
-        if stated_s <= (self._none_s if rate_per_s == math.inf else self._named_s):
+        if stated_s <= (self._unstated_s if rate_per_s == math.inf else self._stated_s):
             return False
-        if stated_s + HOLD_S <= self._none_s:
+        if stated_s + HOLD_S <= self._unstated_s:
             return False
         return self._record_statement(rate_per_s, stated_s, now_s)
 
     def _record_statement(self, rate_per_s: float, stated_s: float, now_s: float) -> bool:
         if rate_per_s < math.inf:
-            self._named_s = stated_s
-        elif stated_s - self._named_s < HOLD_S:
+            self._stated_s = stated_s
+        elif stated_s - self._stated_s < HOLD_S:
             return False
         else:
-            self._none_s = stated_s
+            self._unstated_s = stated_s
         if rate_per_s == self.rate_per_s:
             return False
         self.rate_per_s = rate_per_s
@@ -126,7 +126,7 @@
 
     def take_reminder(self, now_s: float) -> bool:
         """Return whether the other entries have to hear now that the target still states a rate."""
-        is_due = self._named_s > self._told_s and now_s - self._told_s >= TOLD_INTERVAL_S
+        is_due = self._stated_s > self._told_s and now_s - self._told_s >= TOLD_INTERVAL_S
         if not self.is_limited or not is_due:
             return False
         self._told_s = now_s
--- a/src/cicadatiller/kernel/_events.py
+++ b/src/cicadatiller/kernel/_events.py
@@ -84,7 +84,7 @@
     TARGET_LIMITED = (
         408,
         "info",
-        "The rate of requests that a target takes from all entries changed by much, began or ended.",
+        "A target's limit on the requests of all entries began, ended or changed by over a fifth.",
     )
     TARGET_COLD = (
         416,
--- a/tests/support/evidence_play.py
+++ b/tests/support/evidence_play.py
@@ -185,7 +185,7 @@
         self.running = [[] for _ in range(load.targets)]
         self.runs = [0] * load.targets
         self._events, self._order = [], itertools.count()
-        self.entries = [_Entry(self, number) for number in range(load.entries)]
+        self.entries = [_Entry(self) for _ in range(load.entries)]
 
     def at(self, at_s, call, *arguments):
         heapq.heappush(self._events, (at_s, next(self._order), call, arguments))
@@ -308,9 +308,8 @@
 class _Entry:
     """One entry's breakers, and what its peers hear of them."""
 
-    def __init__(self, play, number):
+    def __init__(self, play):
         self._play = play
-        self._number = number
         self.breakers = FingerprintBreakers(listener=self, started_s=-CALM_S)
 
     def record_loss(self, sent):
